--- a/dotterelfront/errors.py
+++ b/dotterelfront/errors.py
@@ -93,8 +93,14 @@
 
 
 class OverloadedError(NotRunError):
+    """``retry_after_s`` is the time in seconds until there should be room, None if unknown."""
+
     code = "OVERLOADED"
 
+    def __init__(self, detail: str = "", retry_after_s: float | None = None):
+        super().__init__(detail)
+        self.retry_after_s = retry_after_s
+
 
 class DeadlineError(NotRunError):
     """The request could not be finished in time and was not sent to a server."""
@@ -255,3 +261,39 @@
     """A root or a chunk is torn, altered or missing."""
 
     code = "BROKEN_CONFIGURATION"
+
+
+class RecordError(DotterelfrontError):
+    """A record of the store cannot be read, so it names nothing to use."""
+
+    code = "RECORD"
+
+
+class HistoryLostError(StoreError):
+    """The store no longer has the changes that a watch asks for."""
+
+    code = "HISTORY_LOST"
+
+
+class ExchangeError(DotterelfrontError):
+    """A request to a server brought no complete response."""
+
+    code = "EXCHANGE"
+
+
+class ConnectError(ExchangeError):
+    """No connection; no byte of the request was sent."""
+
+    code = "CONNECT"
+
+
+class BrokenExchangeError(ExchangeError):
+    """The connection broke, or the response is malformed; the request may have run."""
+
+    code = "BROKEN_EXCHANGE"
+
+
+class ExchangeTimeoutError(ExchangeError):
+    """No complete response in time; the request may have run."""
+
+    code = "EXCHANGE_TIMEOUT"
--- /dev/null
+++ b/dotterelfront/fleet_messages.py
@@ -0,0 +1,112 @@
+"""Messages between the VMs of a fleet: msgspec structs in MessagePack, tagged by type.
+
+All are one-way; a reply is a message of its own to the sender's address::
+
+    raw = fleet_messages.encode(SlotRelease(sender, 7, health.AttemptResult.ANSWERED))
+    fleet_messages.decode(raw)
+"""
+
+import msgspec
+
+from dotterelfront import errors, fleetmodel, health, models, pools
+
+
+class Message(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """Base of all messages."""
+
+
+class SlotRequest(Message, frozen=True):
+    """Asks the owner of a pool's servers in a zone for a slot; ``call_id`` is the sender's.
+
+    ``left_s`` is the time in which the request must end. Without ``wait`` the answer is a free slot
+    or a refusal. ``repeat`` says that the request was sent to a server before. A second message
+    with the same ``call_id`` asks whether the request still waits.
+    """
+
+    sender: models.VmId
+    reply_to: str
+    call_id: int
+    pool: models.PoolName
+    zone: models.ZoneName
+    route: models.RouteName
+    priority: models.Priority
+    idempotent: bool
+    left_s: float
+    wait: bool
+    repeat: bool
+    avoid: tuple[models.ServerId, ...] = ()
+
+
+class SlotWaiting(Message, frozen=True):
+    """The request waits for a slot."""
+
+    call_id: int
+
+
+class SlotGrant(Message, frozen=True):
+    """The request may be sent to ``server``; it then must be released."""
+
+    call_id: int
+    server: models.ServerId
+
+
+class SlotRefusal(Message, frozen=True):
+    """There is no slot; ``retry_after_s`` is the time until there should be one."""
+
+    call_id: int
+    reason: pools.RefuseReason
+    retry_after_s: float
+
+
+class SlotRelease(Message, frozen=True):
+    """The request has ended, or no longer waits."""
+
+    sender: models.VmId
+    call_id: int
+    result: health.AttemptResult
+
+
+class Ping(Message, frozen=True):
+    """Asks whether the path to a VM works, and says which changes the sender has."""
+
+    sender: models.VmId
+    reply_to: str
+    incarnation: models.Incarnation
+    leaving: bool
+    revisions: dict[str, int]
+    answer: bool = False
+    """Whether this answers a ping."""
+
+
+class Pull(Message, frozen=True):
+    """Asks for the changes of a prefix after a revision."""
+
+    reply_to: str
+    prefix: str
+    after: int
+
+
+class Push(Message, frozen=True):
+    """Changes of a prefix; ``after`` is the revision that they follow on."""
+
+    prefix: str
+    after: int
+    changes: fleetmodel.Changes
+
+
+AnyMessage = SlotRequest | SlotWaiting | SlotGrant | SlotRefusal | SlotRelease | Ping | Pull | Push
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(AnyMessage)
+
+
+def encode(message: Message) -> bytes:
+    return _encoder.encode(message)
+
+
+def decode(raw: bytes) -> AnyMessage:
+    """Returns the message; raises ``errors.MessageError``."""
+    try:
+        return _decoder.decode(raw)
+    except msgspec.MsgspecError as exc:
+        raise errors.MessageError(str(exc)) from exc
--- /dev/null
+++ b/dotterelfront/fleetmodel.py
@@ -0,0 +1,77 @@
+"""Types of a fleet whose servers, VMs and configuration are known from replicated records.
+
+All times are in seconds. The structs are immutable; a change is a new value.
+"""
+
+import msgspec
+
+from dotterelfront import models
+
+
+class Record(msgspec.Struct, frozen=True, array_like=True):
+    """One key of the store at one revision; ``value`` is None once it is removed."""
+
+    key: str
+    revision: int
+    value: bytes | None
+
+
+class Changes(msgspec.Struct, frozen=True, array_like=True):
+    """Records that changed up to ``revision``."""
+
+    records: tuple[Record, ...]
+    revision: int
+
+
+class Instance(msgspec.Struct, frozen=True):
+    """One start of a backend server. Its id tells it from others at the same address.
+
+    ``sequence`` grows with each report of one start; a restart has a later ``started_ms``.
+    """
+
+    id: models.ServerId
+    address: str
+    pool: models.PoolName
+    zone: models.ZoneName
+    slots: int
+    state: models.ServerState
+    sequence: int
+    warmup_left_s: float = 0.0
+    started_ms: int = 0
+
+
+class Part(msgspec.Struct, frozen=True):
+    """One of the pools among which a route's requests are divided by weight."""
+
+    pool: models.PoolName
+    weight: float
+
+
+class FleetRoute(msgspec.Struct, frozen=True):
+    """Requests to ``host`` whose path begins with ``path_prefix``.
+
+    ``attempts`` bounds the servers that one request may be sent to, ``timeout_s`` the time that it
+    may be kept waiting; within ``objective_s`` a response is of full use.
+    """
+
+    name: models.RouteName
+    host: str
+    path_prefix: str
+    parts: tuple[Part, ...]
+    idempotent: bool
+    priority: models.Priority
+    timeout_s: float
+    objective_s: float
+    attempts: int
+    methods: tuple[str, ...] = ()
+
+
+class Configuration(msgspec.Struct, frozen=True):
+    """The operators' accepted configuration."""
+
+    revision: models.Revision
+    routes: tuple[FleetRoute, ...]
+    pools: frozenset[models.PoolName]
+    head_timeout_s: float
+    idle_timeout_s: float
+    max_body_bytes: int
--- /dev/null
+++ b/dotterelfront/gray_server.py
@@ -0,0 +1,74 @@
+"""Suspicion of gray servers, from single failures of real requests.
+
+A server that is healthy fails about one request in a hundred, a gray one most of them. One failure
+therefore already makes it more likely than not that the server is gray, and other servers mostly
+have room, so that it costs little to use it last for a while::
+
+    suspicion = Suspicion()
+    suspicion.failed(server, now=1.0)
+    suspicion.level(server, now=1.1)      # above SUSPECT: use it last
+    suspicion.answered(server, now=1.2)
+
+The level is the log odds that the server is gray. It returns to the prior by itself, since a gray
+period lasts seconds; a failure right after that has the full weight again, and failures in a row
+lengthen the time.
+"""
+
+import math
+
+import msgspec
+
+from dotterelfront import models
+
+PRIOR = math.log(0.03 / 0.97)
+"""Log odds of a server to be gray before anything is known."""
+FAILURE_WEIGHT = math.log(0.6 / 0.012)
+"""Log likelihood ratio of a failure: 60% on a gray server, 1.2% on a healthy one."""
+SUCCESS_WEIGHT = math.log(0.4 / 0.988)
+"""Log likelihood ratio of a success."""
+MAX_LEVEL = 8.0
+"""Bound of the log odds, so that a server that recovered is found out soon."""
+HALF_LIFE_S = 1.5
+"""The distance from the prior halves in this time without observations."""
+SUSPECT = 0.0
+"""Log odds above which a server is used last."""
+
+
+class _Level(msgspec.Struct):
+    value: float = 0.0
+    """Distance from the prior."""
+    at: float = 0.0
+
+
+class Suspicion:
+    """Log odds per server; servers that nothing is known of have the prior."""
+
+    def __init__(self):
+        self._levels: dict[models.ServerId, _Level] = {}
+
+    def level(self, server: models.ServerId, now: float) -> float:
+        """Returns the log odds that the server is gray."""
+        return PRIOR + self._distance(server, now)
+
+    def suspect(self, server: models.ServerId, now: float) -> bool:
+        return server in self._levels and self.level(server, now) > SUSPECT
+
+    def failed(self, server: models.ServerId, now: float) -> None:
+        self._observe(server, FAILURE_WEIGHT, now)
+
+    def answered(self, server: models.ServerId, now: float) -> None:
+        if server in self._levels:
+            self._observe(server, SUCCESS_WEIGHT, now)
+
+    def keep(self, servers: set[models.ServerId]) -> None:
+        """Forgets all other servers."""
+        for server in self._levels.keys() - servers:
+            del self._levels[server]
+
+    def _observe(self, server: models.ServerId, weight: float, now: float) -> None:
+        value = min(MAX_LEVEL - PRIOR, max(0.0, self._distance(server, now) + weight))
+        self._levels[server] = _Level(value, now)
+
+    def _distance(self, server: models.ServerId, now: float) -> float:
+        found = self._levels.get(server)
+        return found.value * 0.5 ** ((now - found.at) / HALF_LIFE_S) if found else 0.0
--- a/dotterelfront/heartbeat.py
+++ b/dotterelfront/heartbeat.py
@@ -24,7 +24,7 @@
     messages,
     models,
     placement,
-    platform,
+    vmlist,
 )
 
 MAX_CONCURRENT_CALLS = 8
@@ -51,7 +51,7 @@
         channel: control.ControlChannel,
         platform_url: str,
         on_change: Callable[[tuple[models.Vm, ...]], None] = lambda vms: None,
-        on_list: Callable[[platform.VmList], None] = lambda vm_list: None,
+        on_list: Callable[[vmlist.VmList], None] = lambda vm_list: None,
         on_leaving_servers: Callable[[tuple[models.ServerId, ...]], None] = lambda servers: None,
         now: Callable[[], float] = time.monotonic,
         rng: random.Random | None = None,
@@ -59,12 +59,12 @@
         self._now = now
         self._rng = rng or random.Random()
         self._channel = channel
-        self._platform = platform.ListClient(platform_url)
+        self._platform = vmlist.ListClient(platform_url)
         self._view = membership.Membership(vm, incarnation, now())
         self._on_change = on_change
         self._on_list = on_list
         self._on_leaving_servers = on_leaving_servers
-        self._last_list = platform.VmList(())
+        self._last_list = vmlist.VmList(())
         self._leaving_servers: tuple[models.ServerId, ...] = ()
         self._mailbox: queue.SimpleQueue = queue.SimpleQueue()
         self._calls = concurrent.futures.ThreadPoolExecutor(
@@ -221,6 +221,6 @@
                 self._leaving_servers = leaving
                 self._on_leaving_servers(leaving)
 
-    def _take_list(self, found: platform.VmList, now: float) -> None:
+    def _take_list(self, found: vmlist.VmList, now: float) -> None:
         self._view.on_list(found.vms, now)
         self._listed = self._view.listed()
--- a/dotterelfront/http1.py
+++ b/dotterelfront/http1.py
@@ -59,6 +59,17 @@
     def feed(self, data: bytes) -> None:
         self._buf += data
 
+    def detach_rest(self) -> bytes:
+        """Removes and returns the bytes behind the request that was taken.
+
+        A reader for the next request takes them, so that several can be under way; each is answered
+        by the reader that took it.
+        """
+        rest = bytes(self._buf)
+        self._buf.clear()
+        self._searched = 0
+        return rest
+
     def take(self) -> tuple[headers.RequestHead, bytes] | None:
         """Returns the next complete request, or None.
 
--- /dev/null
+++ b/dotterelfront/mesh.py
@@ -0,0 +1,104 @@
+"""Messages between VMs over pynng: one PULL socket listens, one PUSH socket a peer sends.
+
+::
+
+    mesh = Mesh("10.0.0.1:7620", on_message)
+    mesh.send("10.0.0.2:7620", message)     # never waits; False when it cannot be sent now
+    await mesh.run()
+
+Messages may be lost, and arrive late after a connection was made again. Senders wait for replies
+with a timeout, and ``reset`` drops a connection that stays silent.
+"""
+
+import collections
+from collections.abc import Callable
+
+import pynng
+
+from dotterelfront import errors, fleet_messages, logs
+
+SEND_BUFFER = 256
+"""Messages that wait for a connection to a peer."""
+MAX_MESSAGE_BYTES = 4_000_000
+"""A push holds the whole configuration, at most a value of the store, and all servers."""
+RECONNECT_MIN_MS = 50
+RECONNECT_MAX_MS = 1_000
+MAX_PEERS = 512
+"""Sockets that are kept; the one unused for longest goes first."""
+
+
+class Mesh:
+    """Sockets of one VM; all calls come from its event loop."""
+
+    def __init__(self, address: str, on_message: Callable[[fleet_messages.AnyMessage], None]):
+        self._address = address
+        self._on_message = on_message
+        self._peers: collections.OrderedDict[str, pynng.Push0] = collections.OrderedDict()
+        self._listener: pynng.Pull0 | None = None
+        self.counters: collections.Counter[str] = collections.Counter()
+
+    def listen(self) -> None:
+        """Opens the listening socket; raises ``errors.PeerError``."""
+        self._listener = pynng.Pull0(recv_max_size=MAX_MESSAGE_BYTES, recv_buffer_size=SEND_BUFFER)
+        try:
+            self._listener.listen(f"tcp://{self._address}")
+        except pynng.NNGException as exc:
+            raise errors.PeerError(f"{self._address}: {exc}") from exc
+
+    async def run(self) -> None:
+        """Hands messages over until the socket closes."""
+        while True:
+            try:
+                raw = await self._listener.arecv()
+            except pynng.Closed:
+                return
+            except pynng.NNGException as exc:
+                logs.event("receive failed", level="WARNING", error=str(exc))
+                continue
+            self._receive(raw)
+
+    def send(self, address: str, message: fleet_messages.Message) -> bool:
+        """Queues a message; returns whether there was room for it."""
+        try:
+            self._peer(address).send(fleet_messages.encode(message), block=False)
+        except pynng.NNGException:
+            self.counters["not sent"] += 1
+            return False
+        self.counters["sent"] += 1
+        return True
+
+    def reset(self, address: str) -> None:
+        """Drops the connection to a peer that does not answer; the next message makes a new one."""
+        sock = self._peers.pop(address, None)
+        if sock is not None:
+            self.counters["reset"] += 1
+            sock.close()
+
+    def close(self) -> None:
+        for address in list(self._peers):
+            self.reset(address)
+        if self._listener is not None:
+            self._listener.close()
+
+    def _peer(self, address: str) -> pynng.Push0:
+        sock = self._peers.get(address)
+        if sock is None:
+            while len(self._peers) >= MAX_PEERS:
+                self.reset(next(iter(self._peers)))
+            sock = self._peers[address] = pynng.Push0(
+                send_buffer_size=SEND_BUFFER,
+                reconnect_time_min=RECONNECT_MIN_MS,
+                reconnect_time_max=RECONNECT_MAX_MS,
+            )
+            sock.dial(f"tcp://{address}", block=False)
+        self._peers.move_to_end(address)
+        return sock
+
+    def _receive(self, raw: bytes) -> None:
+        try:
+            message = fleet_messages.decode(raw)
+        except errors.MessageError:
+            self.counters["malformed"] += 1
+            return
+        self.counters["received"] += 1
+        self._on_message(message)
--- /dev/null
+++ b/dotterelfront/node.py
@@ -0,0 +1,353 @@
+"""The process of a VM on the users' platform: wires the parts together and runs until SIGTERM.
+
+::
+
+    DOTTERELFRONT_BOOT=settings.json python -m dotterelfront.node
+"""
+
+import asyncio
+import os
+import random
+import signal
+import sys
+import time
+
+from dotterelfront import (
+    errors,
+    fleet_messages,
+    fleet_view,
+    fleetmodel,
+    follow,
+    gateway,
+    logs,
+    mesh,
+    models,
+    relay,
+    replica,
+    slot_client,
+    slot_owner,
+    upstream,
+)
+from dotterelfront.platform import boot, records, store, wire
+
+TICK_S = 0.05
+SWEEP_S = 0.5
+PING_S = 1.0
+PING_PEERS = 2
+"""VMs that hear of the sender's revisions each second, besides those that did not answer."""
+LEASE_S = 6.0
+KEEP_S = 2.0
+"""The VM's record lives for three renewals."""
+ACCEPT_AFTER_TERM_S = 3.0
+"""The balancer takes a VM out after two checks, one a second, that fail."""
+EXIT_MARGIN_S = 0.4
+"""Time between the last answer and the platform's SIGKILL."""
+BACKLOG = 512
+RETRY_SHARE = 0.7
+"""Part of the users' bound on repeated sends that the owners of all zones give out together. VMs
+that take over an owner's shard start with a new burst."""
+RETRY_BURST_SHARE = 0.5
+
+
+class Node:
+    """One VM: its sockets, its tasks and their shared state, all on one event loop."""
+
+    def __init__(self, cfg: boot.Settings):
+        self._cfg = cfg
+        self._loop = asyncio.get_running_loop()
+        self._rng = random.Random(cfg.vm_id)
+        self._incarnation = models.Incarnation(int(time.time() * 1000))
+        now = self._loop.time()
+        self._view = fleet_view.FleetView(cfg.vm, self._incarnation, now)
+        self._client = store.Client(cfg.store_address)
+        self._store_state = follow.StoreState(now)
+        self._followers = {
+            prefix: self._follower(prefix, on_change)
+            for prefix, on_change in (
+                (records.CONFIG_PREFIX, self._on_config),
+                (records.SERVERS_PREFIX, self._on_servers),
+                (fleet_view.VMS_PREFIX, self._on_vms),
+            )
+        }
+        self._mesh = mesh.Mesh(cfg.vm.address, self._on_message)
+        self._owner = slot_owner.SlotOwner(
+            self._limits(), self._send, self._view.is_first_owner, seed=self._incarnation
+        )
+        topology = slot_client.Topology(self._view.zones, self._view.owners, self._on_unreachable)
+        self._slots = slot_client.SlotClient(
+            cfg.vm, self._send_to_vm, topology, seed=self._incarnation
+        )
+        self._upstream = upstream.Upstream()
+        self._relay = relay.Relay(
+            self._slots, self._view.catalog.get, self._upstream, seed=self._incarnation
+        )
+        self._gateway = gateway.Gateway(self._relay.handle, self._timeouts)
+        self._ready = gateway.Gateway(self._answer_ready)
+        self._leaving = asyncio.Event()
+        self._lease: int | None = None
+        self._tasks: set[asyncio.Task] = set()
+
+    async def run(self) -> None:
+        """Runs until SIGTERM and the end of the last request."""
+        self._loop.add_signal_handler(signal.SIGTERM, self._leaving.set)
+        self._loop.add_signal_handler(signal.SIGINT, self._leaving.set)
+        self._loop.add_signal_handler(signal.SIGHUP, self._reload)
+        self._mesh.listen()
+        ready = await self._listen(self._ready, self._cfg.ready_address)
+        front = await self._listen(self._gateway, self._cfg.http_address)
+        for job in (self._mesh.run, self._tick, self._sweep, self._ping, self._keep_record):
+            self._start(job())
+        for follower in self._followers.values():
+            self._start(follower.run())
+        logs.event("started", address=self._cfg.http_address)
+        await self._leaving.wait()
+        await self._leave(front)
+        ready.close()
+
+    # Start and end
+
+    def _follower(self, prefix: str, on_change: follow.OnChange) -> follow.Follower:
+        copy = replica.Replica(prefix)
+        return follow.Follower(
+            self._client, copy, self._store_state, on_change, seed=self._incarnation
+        )
+
+    def _limits(self) -> slot_owner.Limits:
+        bounds = self._cfg.bounds
+        return slot_owner.Limits(
+            bounds.retry_ratio * RETRY_SHARE, bounds.retry_slack * RETRY_BURST_SHARE / ZONES
+        )
+
+    async def _listen(self, target: gateway.Gateway, address: str) -> asyncio.Server:
+        host, _, port = address.rpartition(":")
+        return await self._loop.create_server(
+            target.connection, host, int(port), backlog=BACKLOG, reuse_address=True
+        )
+
+    def _start(self, job) -> None:
+        task = self._loop.create_task(job)
+        self._tasks.add(task)
+        task.add_done_callback(self._on_done)
+
+    def _on_done(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            logs.event("task failed", level="ERROR", error=repr(task.exception()))
+            self._leaving.set()
+
+    async def _leave(self, front: asyncio.Server) -> None:
+        started = self._loop.time()
+        logs.event("leaving")
+        self._view.members.leaving = True
+        self._gateway.leave()
+        self._start(self._end_record())
+        await asyncio.sleep(ACCEPT_AFTER_TERM_S)
+        front.close()
+        await self._gateway.finish(started + self._cfg.bounds.grace_s - EXIT_MARGIN_S)
+        self._upstream.close()
+        self._mesh.close()
+        logs.event("stopped")
+
+    def _reload(self) -> None:
+        """Checks the changed settings file; addresses and identity hold until a restart."""
+        try:
+            boot.load(os.environ[boot.SETTINGS_VARIABLE])
+            logs.event("settings read again")
+        except errors.ConfigurationError as exc:
+            logs.event("settings rejected", level="WARNING", error=str(exc))
+
+    # Periodic work
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            if self._owner.busy:
+                self._owner.tick(self._loop.time())
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            now = self._loop.time()
+            self._gateway.sweep(now)
+            report = self._view.catalog.expire_lapsed(self._store_state.well_since, now)
+            self._set_servers(report.pools)
+
+    async def _ping(self) -> None:
+        while True:
+            await asyncio.sleep(PING_S * self._rng.uniform(0.8, 1.2))
+            now = self._loop.time()
+            self._view.members.tick(now)
+            others = [vm for vm in self._view.members.listed() if vm.id != self._cfg.vm_id]
+            chosen = self._rng.sample(others, min(PING_PEERS, len(others)))
+            for vm in {vm.id: vm for vm in [*chosen, *self._view.members.suspects(now)]}.values():
+                self._send(vm.address, self._ping_message(answer=False))
+
+    async def _keep_record(self) -> None:
+        key, value = self._view.record()
+        while True:
+            try:
+                if self._lease is None:
+                    lease = await self._client.lease(LEASE_S)
+                    await self._client.put(key, value, lease)
+                    self._lease = lease
+                elif not await self._client.keep(self._lease):
+                    self._lease = None
+                    continue
+                self._store_state.succeeded(self._loop.time())
+            except errors.StoreError as exc:
+                self._store_state.failed(self._loop.time())
+                logs.event("record not kept", level="DEBUG", error=str(exc))
+            await asyncio.sleep(KEEP_S * self._rng.uniform(0.9, 1.1))
+
+    async def _end_record(self) -> None:
+        lease, self._lease = self._lease, None
+        try:
+            if lease is not None:
+                await self._client.end_lease(lease)
+        except errors.StoreError as exc:
+            logs.event("record not ended", level="WARNING", error=str(exc))
+
+    # Changes of records
+
+    def _on_config(self, copy: replica.Replica, changed: set[str]) -> None:
+        if self._view.on_config(copy.get(records.CONFIG_KEY)):
+            self._relay.configure(self._view.config)
+            logs.event("configuration in force", revision=self._view.config.revision)
+            self._tell_revisions()
+
+    def _on_servers(self, copy: replica.Replica, changed: set[str]) -> None:
+        now = self._loop.time()
+        trusted = self._store_state.trusted(now, fleet_view.catalog.RETURN_S)
+        found = [fleetmodel.Record(key, 0, copy.get(key)) for key in sorted(changed)]
+        self._set_servers(self._view.on_servers(found, trusted, now))
+
+    def _on_vms(self, copy: replica.Replica, changed: set[str]) -> None:
+        now = self._loop.time()
+        trusted = self._store_state.trusted(now, fleet_view.catalog.RETURN_S)
+        self._view.on_vms(copy.items(), trusted, now)
+
+    def _set_servers(self, pools) -> None:
+        now = self._loop.time()
+        for pool in sorted(pools):
+            self._owner.set_servers(pool, self._view.by_zone(pool), now)
+
+    def _tell_revisions(self) -> None:
+        others = [vm for vm in self._view.members.listed() if vm.id != self._cfg.vm_id]
+        for vm in self._rng.sample(others, min(PING_PEERS, len(others))):
+            self._send(vm.address, self._ping_message(answer=False))
+
+    # Messages
+
+    def _send(self, address: str, message: fleet_messages.Message) -> bool:
+        if address == self._cfg.vm.address:
+            self._loop.call_soon(self._on_message, message)
+            return True
+        return self._mesh.send(address, message)
+
+    def _send_to_vm(self, vm: models.Vm, message: fleet_messages.Message) -> bool:
+        return self._send(vm.address, message)
+
+    def _on_unreachable(self, vm: models.Vm) -> None:
+        if vm.id == self._cfg.vm_id:
+            return
+        self._view.members.on_call_failed(vm.id, self._loop.time(), not_sent=True)
+        self._mesh.reset(vm.address)
+        self._send(vm.address, self._ping_message(answer=False))
+
+    def _on_message(self, message: fleet_messages.AnyMessage) -> None:
+        _HANDLERS[type(message)](self, message)
+
+    def _on_slot_request(self, message: fleet_messages.SlotRequest) -> None:
+        self._owner.request(message, self._loop.time())
+
+    def _on_slot_release(self, message: fleet_messages.SlotRelease) -> None:
+        self._owner.release(message, self._loop.time())
+
+    def _on_slot_reply(self, message) -> None:
+        self._slots.on_reply(message)
+
+    def _on_ping(self, message: fleet_messages.Ping) -> None:
+        now = self._loop.time()
+        if message.answer:
+            self._view.members.on_reached(message.sender, message.incarnation, message.leaving, now)
+        else:
+            self._send(message.reply_to, self._ping_message(answer=True))
+        for prefix, revision in message.revisions.items():
+            follower = self._followers.get(prefix)
+            if follower is not None and follower.behind(revision):
+                pull = fleet_messages.Pull(self._cfg.vm.address, prefix, follower.revision)
+                self._send(message.reply_to, pull)
+
+    def _on_pull(self, message: fleet_messages.Pull) -> None:
+        follower = self._followers.get(message.prefix)
+        changes = follower and follower.since(message.after)
+        if changes:
+            push = fleet_messages.Push(message.prefix, message.after, changes)
+            self._send(message.reply_to, push)
+
+    def _on_push(self, message: fleet_messages.Push) -> None:
+        follower = self._followers.get(message.prefix)
+        if follower is not None and follower.revision >= message.after:
+            follower.take(message.changes)
+
+    def _ping_message(self, answer: bool) -> fleet_messages.Ping:
+        return fleet_messages.Ping(
+            sender=self._cfg.vm.id,
+            reply_to=self._cfg.vm.address,
+            incarnation=self._incarnation,
+            leaving=self._leaving.is_set(),
+            revisions={prefix: found.revision for prefix, found in self._followers.items()},
+            answer=answer,
+        )
+
+    # Callers
+
+    def _timeouts(self) -> gateway.Timeouts:
+        config = self._view.config
+        if config is None:
+            return gateway.Timeouts()
+        return gateway.Timeouts(config.head_timeout_s, config.idle_timeout_s, config.max_body_bytes)
+
+    async def _answer_ready(self, call: relay.Call) -> relay.Answer:
+        ready = (
+            call.head.path == wire.READY_PATH
+            and not self._leaving.is_set()
+            and self._view.config is not None
+            and self._followers[records.SERVERS_PREFIX].revision > 0
+        )
+        return relay.Answer(200 if ready else 503, [])
+
+
+ZONES = 3
+"""Owners of one pool that may spend its burst of repeated sends."""
+
+_HANDLERS = {
+    fleet_messages.SlotRequest: Node._on_slot_request,
+    fleet_messages.SlotRelease: Node._on_slot_release,
+    fleet_messages.SlotWaiting: Node._on_slot_reply,
+    fleet_messages.SlotGrant: Node._on_slot_reply,
+    fleet_messages.SlotRefusal: Node._on_slot_reply,
+    fleet_messages.Ping: Node._on_ping,
+    fleet_messages.Pull: Node._on_pull,
+    fleet_messages.Push: Node._on_push,
+}
+
+
+async def _run(cfg: boot.Settings) -> None:
+    await Node(cfg).run()
+
+
+def main() -> None:
+    """Runs the VM named by the settings file; exits with status 1 when the file is faulty."""
+    logs.configure(logs.LogFormat.JSON)
+    try:
+        cfg = boot.load(os.environ.get(boot.SETTINGS_VARIABLE, ""))
+    except errors.ConfigurationError as exc:
+        logs.event("settings rejected", level="ERROR", error=str(exc))
+        sys.exit(1)
+    logs.configure(logs.LogFormat.JSON, cfg.vm_id)
+    asyncio.run(_run(cfg))
+
+
+if __name__ == "__main__":
+    main()
--- a/dotterelfront/operator_session.py
+++ b/dotterelfront/operator_session.py
@@ -23,12 +23,12 @@
     messages,
     models,
     peers,
-    platform,
     publish,
     revisions,
     settings,
     store,
     tables,
+    vmlist,
 )
 
 CONTROL_PORT = 7402
@@ -115,8 +115,8 @@
     def __init__(self, cfg: OperatorSettings):
         self._cfg = cfg
         self._client = store.StoreClient(cfg.store_url)
-        self._platform = platform.ListClient(cfg.platform_url)
-        self._list = platform.VmList(())
+        self._platform = vmlist.ListClient(cfg.platform_url)
+        self._list = vmlist.VmList(())
         tls = peers.TlsFiles(**cfg.tls.model_dump()) if cfg.tls else None
         self._caller = peers.Caller(messages.CONTROL_LIMIT_BYTES, tls)
         self._workers = concurrent.futures.ThreadPoolExecutor(CALL_WORKERS)
--- /dev/null
+++ b/dotterelfront/platform/boot.py
@@ -0,0 +1,97 @@
+"""Settings of a process on the platform, from the file that the deploy template renders.
+
+The file is JSON with comments and has this package's names; only the limits keep the platform's
+names, because it hands them over as one table::
+
+    cfg = boot.load(os.environ[boot.SETTINGS_VARIABLE])
+    cfg.bounds.drain_s   # 2.0
+"""
+
+import msgspec
+import pyjson5
+
+from dotterelfront import errors, models
+from dotterelfront.platform import formats
+
+SETTINGS_VARIABLE = "DOTTERELFRONT_BOOT"
+
+
+class Bounds(msgspec.Struct, frozen=True, kw_only=True):
+    """Limits that the users hold the fleet to; times in seconds."""
+
+    drain_s: float = 2.0
+    """Time after which a leaving server gets nothing more."""
+    grace_s: float = 6.0
+    """Time between SIGTERM and SIGKILL."""
+    retry_ratio: float = 0.2
+    retry_window_s: float = 10.0
+    retry_slack: float = 50.0
+    """Repeated sends per window and service: this many and ``retry_ratio`` of its requests."""
+    floor_share: float = 0.7
+    """Share of a service's healthy servers that must keep receiving requests."""
+
+
+_SECONDS = {"drain": "drain_s", "grace": "grace_s", "retry-window": "retry_window_s"}
+_NUMBERS = {
+    "retry-ratio": "retry_ratio",
+    "retry-slack": "retry_slack",
+    "floor-share": "floor_share",
+}
+
+
+class Settings(msgspec.Struct, frozen=True, kw_only=True):
+    """Settings of one VM. Addresses are ``"ip:port"``."""
+
+    vm_id: str
+    address: str
+    zone: str
+    region: str
+    http_address: str
+    ready_address: str
+    peer_port: int
+    store_address: str
+    seeds: list[str] = []
+    """Addresses of VMs that may hold a copy of the configuration while the store is away."""
+    memory_mb: float = 300.0
+    log_format: str = "json"
+    limits: dict[str, str | float | bool] = {}
+
+    @property
+    def bounds(self) -> Bounds:
+        return bounds(self.limits)
+
+    @property
+    def vm(self) -> models.Vm:
+        peer_address = f"{self.address}:{self.peer_port}"
+        return models.Vm(
+            models.VmId(self.vm_id), peer_address, models.ZoneName(self.zone), self.region
+        )
+
+
+def bounds(limits: dict[str, str | float | bool]) -> Bounds:
+    """Reads the limits by their platform names; names that are not known are ignored."""
+    found = {}
+    for name, value in limits.items():
+        if name in _SECONDS:
+            found[_SECONDS[name]] = formats.seconds(value)
+        elif name in _NUMBERS:
+            try:
+                found[_NUMBERS[name]] = float(value)
+            except ValueError as exc:
+                raise errors.RecordError(f"limits: {name}: {value!r} is not a number") from exc
+    return Bounds(**found)
+
+
+def load(path: str) -> Settings:
+    """Reads and checks the settings file; raises ``errors.ConfigurationError``."""
+    try:
+        with open(path, encoding="utf-8") as file:
+            cfg = msgspec.convert(pyjson5.decode(file.read()), Settings)
+        _ = cfg.bounds
+    except OSError as exc:
+        raise errors.ConfigurationError(f"{path}: {exc.strerror}") from exc
+    except (pyjson5.Json5Exception, UnicodeDecodeError) as exc:
+        raise errors.ConfigurationError(f"{path}: not JSON with comments: {exc}") from exc
+    except (msgspec.ValidationError, errors.RecordError) as exc:
+        raise errors.ConfigurationError(f"{path}: {exc}") from exc
+    return cfg
--- /dev/null
+++ b/dotterelfront/platform/store.py
@@ -0,0 +1,168 @@
+"""Client of the platform's store.
+
+::
+
+    client = store.Client("10.200.1.7:8642")
+    page = await client.list_all("servers/")
+    page = await client.watch("servers/", page.revision, wait_s=20.0)
+
+Calls raise ``errors.StoreUnavailableError`` when nothing is known about their effect or the store
+refuses them for now, ``errors.StoreRefusedError`` when the call is wrong,
+``errors.StoreConflictError`` when a condition does not hold, and ``errors.HistoryLostError`` when
+a watch must begin anew.
+"""
+
+import base64
+import urllib.parse
+from typing import Any
+
+import msgspec
+
+from dotterelfront import errors, exchange, fleetmodel
+from dotterelfront.platform import formats
+
+CALL_TIMEOUT_S = 2.0
+"""A call takes 4 ms; 60 times as long on a slow store."""
+WATCH_SLACK_S = 1.5
+"""Time that the answer to a watch may take beyond the wait that was asked for."""
+MAX_PAGES = 1_000
+
+
+class _Item(msgspec.Struct, rename="kebab"):
+    key: str
+    rev: int
+    value: str = ""
+    lease: int = 0
+    removed: bool = False
+
+
+class _Page(msgspec.Struct, rename="kebab"):
+    current_rev: int
+    items: list[_Item] = []
+    events: list[_Item] = []
+    has_more: bool = False
+
+
+class _Lease(msgspec.Struct):
+    lease: int
+
+
+class _Written(msgspec.Struct):
+    rev: int
+
+
+class Client:
+    """Calls of one VM to the store. Each call uses a kept connection or a new one."""
+
+    def __init__(self, address: str):
+        self._address = address
+        self._idle: list[exchange.Connection] = []
+
+    async def list_all(self, prefix: str) -> fleetmodel.Changes:
+        """Returns all items under a prefix. The pages are not a snapshot.
+
+        The revision is that of the first page, so that a watch from there misses nothing.
+        """
+        records, after, revision = [], "", None
+        for _ in range(MAX_PAGES):
+            query = {"prefix": prefix} | ({"after": after} if after else {})
+            page = _decoded(await self._get("/v1/kv-range", query), _Page)
+            records += [_record(item) for item in page.items]
+            revision = page.current_rev if revision is None else revision
+            if not page.has_more or not page.items:
+                return fleetmodel.Changes(tuple(records), revision)
+            after = page.items[-1].key
+        raise errors.StoreUnavailableError(f"{prefix}: more than {MAX_PAGES} pages")
+
+    async def watch(self, prefix: str, after: int, wait_s: float) -> fleetmodel.Changes:
+        """Returns the changes after a revision as soon as there is one, or none after the wait."""
+        query = {"prefix": prefix, "after": after, "wait-ms": round(wait_s * 1000)}
+        page = _decoded(await self._get("/v1/kv-watch", query, wait_s + WATCH_SLACK_S), _Page)
+        return fleetmodel.Changes(
+            tuple(_record(event) for event in page.events), max(after, page.current_rev)
+        )
+
+    async def lease(self, ttl_s: float) -> int:
+        """Returns the id of a new lease."""
+        res = await self._post("/v1/kv-lease", {"ttl_time": formats.duration(ttl_s)})
+        return _decoded(res, _Lease).lease
+
+    async def keep(self, lease: int) -> bool:
+        """Renews a lease; false when it has ended."""
+        res = await self._post(f"/v1/kv-keep/{lease}", None, accepted=(200, 404))
+        return res.status == 200
+
+    async def end_lease(self, lease: int) -> None:
+        """Ends a lease and removes its keys."""
+        await self._call("DELETE", f"/v1/kv-lease-end/{lease}", None, CALL_TIMEOUT_S, (200, 404))
+
+    async def put(self, key: str, value: bytes, lease: int = 0) -> int:
+        """Writes one item; returns its revision."""
+        item = {"key": key, "value": base64.b64encode(value).decode(), "lease": lease}
+        body = {"expected": [], "puts": [item], "deletes": []}
+        return _decoded(await self._post("/v1/kv-txn", body), _Written).rev
+
+    def close(self) -> None:
+        for conn in self._idle:
+            conn.close()
+        self._idle.clear()
+
+    async def _get(self, path: str, query: dict, timeout_s: float = CALL_TIMEOUT_S):
+        target = f"{path}?{urllib.parse.urlencode(query)}"
+        return await self._call("GET", target, None, timeout_s, (200,))
+
+    async def _post(self, path: str, body: dict | None, accepted: tuple[int, ...] = (200,)):
+        return await self._call("POST", path, body, CALL_TIMEOUT_S, accepted)
+
+    async def _call(
+        self, method: str, target: str, body: dict | None, timeout_s: float, accepted: tuple
+    ) -> exchange.Response:
+        raw = b"" if body is None else msgspec.json.encode(body)
+        pairs = [("Host", self._address), ("Content-Length", str(len(raw)))]
+        if raw:
+            pairs.append(("Content-Type", "application/json"))
+        try:
+            conn = self._take_idle() or await exchange.connect(self._address, CALL_TIMEOUT_S)
+            res = await conn.send(method, target, pairs, raw, timeout_s)
+        except errors.ExchangeError as exc:
+            raise errors.StoreUnavailableError(f"{method} {target}: {exc}") from exc
+        if conn.reusable:
+            self._idle.append(conn)
+        if res.status not in accepted:
+            kind = _FAILURES.get(res.status, errors.StoreRefusedError)
+            raise kind(f"{method} {target}: status {res.status}")
+        return res
+
+    def _take_idle(self) -> exchange.Connection | None:
+        while self._idle:
+            conn = self._idle.pop()
+            if conn.reusable:
+                return conn
+        return None
+
+
+_FAILURES = {
+    410: errors.HistoryLostError,
+    412: errors.StoreConflictError,
+    429: errors.StoreUnavailableError,
+    500: errors.StoreUnavailableError,
+    502: errors.StoreUnavailableError,
+    503: errors.StoreUnavailableError,
+    504: errors.StoreUnavailableError,
+}
+
+
+def _record(item: _Item) -> fleetmodel.Record:
+    if item.removed:
+        return fleetmodel.Record(item.key, item.rev, None)
+    try:
+        return fleetmodel.Record(item.key, item.rev, base64.b64decode(item.value))
+    except ValueError:
+        return fleetmodel.Record(item.key, item.rev, b"")
+
+
+def _decoded(res: exchange.Response, kind: type) -> Any:
+    try:
+        return msgspec.json.decode(res.body, type=kind)
+    except msgspec.MsgspecError as exc:
+        raise errors.StoreUnavailableError(f"unreadable answer: {exc}") from exc
--- a/dotterelfront/pools.py
+++ b/dotterelfront/pools.py
@@ -20,7 +20,7 @@
 
 import msgspec
 
-from dotterelfront import health, models, queueing
+from dotterelfront import gray_server, health, models, queueing
 
 MAX_QUEUE_LENGTH = 256
 RESERVED_SHARE = 0.25
@@ -58,6 +58,8 @@
     DEADLINE = "deadline"
     OVERLOADED = "overloaded"
     CUSTOMER_LIMIT = "customer-limit"
+    NO_ROOM = "no-room"
+    """No free slot now, and the request was not to wait."""
 
 
 class Grant(msgspec.Struct, frozen=True):
@@ -139,8 +141,10 @@
         slot_divisor: int = 1,
         rng: random.Random | None = None,
         max_queue_length: int = MAX_QUEUE_LENGTH,
+        suspicion: gray_server.Suspicion | None = None,
     ):
         self._pool = pool
+        self._suspicion = suspicion or gray_server.Suspicion()
         self._servers = {server.address: server for server in servers}
         self._slot_divisor = slot_divisor
         self._rng = rng or random.Random(pool.name)
@@ -167,9 +171,15 @@
         self.health = health.ShardHealth(pool, servers, now)
         self._adapt(now)
 
-    def submit(self, ticket: queueing.Ticket, now: float) -> list[Effect]:
-        """Queues a request, or refuses it at once when it cannot finish in time."""
+    def submit(self, ticket: queueing.Ticket, now: float, wait: bool = True) -> list[Effect]:
+        """Queues a request, or refuses it at once when it cannot finish in time.
+
+        Without ``wait`` it gets a free slot of a server that is not suspected, or is refused.
+        """
         self.counters["submitted"] += 1
+        if not wait and not self._has_room(ticket, now):
+            self._refuse(ticket, RefuseReason.NO_ROOM)
+            return self.take_effects()
         self._last_use[ticket.route] = now
         long = self._is_long(ticket.route)
         cost = self._times.mean(ticket.route)
@@ -279,6 +289,17 @@
     def queued(self, ticket_id: int) -> bool:
         return ticket_id in self._queue
 
+    def withdraw(self, ticket_id: int, now: float) -> list[Effect]:
+        """Removes a waiting ticket, because nobody waits for it; it gets no effect."""
+        if self._queue.remove(ticket_id) is not None:
+            self.counters["withdrawn"] += 1
+            self._advance(now)
+        return self.take_effects()
+
+    def wait_s(self, now: float) -> float:
+        """Returns the time in seconds until what waits now should have slots."""
+        return self._queue.total_work() / max(1, self._capacity)
+
     def has_servers(self) -> bool:
         return bool(self._servers)
 
@@ -335,7 +356,7 @@
             entry = self._next(allow_long, now)
             if entry is None:
                 return
-            server = self._pick(entry.ticket.idempotent, now)
+            server = self._pick(entry.ticket, now)
             if server is None:
                 # A server may be eligible for idempotent requests only, so this ticket must be one
                 # to show that no other ticket can have a slot either.
@@ -415,8 +436,19 @@
         for ticket in tickets:
             self._refuse(ticket, RefuseReason.OVERLOADED)
 
-    def _pick(self, idempotent: bool, now: float) -> models.ServerId | None:
-        """Returns the server to use: least penalty, then least load, ties at random."""
+    def _has_room(self, ticket: queueing.Ticket, now: float) -> bool:
+        if self._queue or not self._active:
+            return False
+        server = self._pick(ticket, now)
+        return (
+            server is not None
+            and server not in ticket.avoid
+            and not self._suspicion.suspect(server, now)
+        )
+
+    def _pick(self, ticket: queueing.Ticket, now: float) -> models.ServerId | None:
+        """Returns the server to use: least suspect, least penalty, least load, ties at random."""
+        idempotent = ticket.idempotent
         best, best_rank, ties = None, None, 0
         for address, server in self._active.items():
             busy = self._busy[address]
@@ -428,7 +460,13 @@
             usable = self._usable(server, now)
             if busy >= usable or not self.health.eligible(address, idempotent, now):
                 continue
-            rank = (self.health.penalty(address, now), busy / usable)
+            suspect = self._suspicion.suspect(address, now)
+            rank = (
+                address in ticket.avoid,
+                self._suspicion.level(address, now) if suspect else 0.0,
+                self.health.penalty(address, now),
+                busy / usable,
+            )
             if best_rank is None or rank < best_rank:
                 best, best_rank, ties = address, rank, 1
             elif rank == best_rank:
--- a/dotterelfront/proxy.py
+++ b/dotterelfront/proxy.py
@@ -30,9 +30,9 @@
     peers,
     permits,
     placement,
-    platform,
     settings,
     store,
+    vmlist,
 )
 
 CLAIM_TIMEOUT_S = 0.5
@@ -220,7 +220,7 @@
         self._caller.retain(f"{vm.address}:{self._cfg.data_port}" for vm in vms)
         self._owner.apply_ranks(self._rank)
 
-    def _on_list(self, found: platform.VmList) -> None:
+    def _on_list(self, found: vmlist.VmList) -> None:
         self._permits.on_list(found.vms)
 
     def _rank(self, key: owner.ShardKey) -> int | None:
--- a/dotterelfront/queueing.py
+++ b/dotterelfront/queueing.py
@@ -52,6 +52,8 @@
     deadline: float
     enqueued: float
     requeued: bool = False
+    avoid: frozenset[models.ServerId] = frozenset()
+    """Servers that are used only when no other server has a free slot."""
 
 
 class Entry(msgspec.Struct, eq=False):
@@ -299,6 +301,10 @@
         turns = (backlog + cost) * (lane.active + other.active) + backlog
         return higher, min(lane.work + other.work, turns)
 
+    def total_work(self) -> float:
+        """Returns the slot time of all waiting tickets."""
+        return math.fsum(lane.work for lanes in self._lanes for lane in lanes)
+
     def long_work(self, priority: models.Priority) -> float:
         """Returns the slot time of waiting long tickets of this and more important classes."""
         return math.fsum(lanes[1].work for lanes in self._lanes[: priority + 1])
--- a/dotterelfront/retries.py
+++ b/dotterelfront/retries.py
@@ -24,9 +24,12 @@
     def on_request(self) -> None:
         self._available = min(self._burst, self._available + self._ratio)
 
+    def available(self) -> bool:
+        return self._available >= 1.0
+
     def take(self) -> bool:
         """Uses one retry; false when the budget is spent."""
-        if self._available < 1.0:
+        if not self.available():
             return False
         self._available -= 1.0
         return True
--- /dev/null
+++ b/dotterelfront/slot_owner.py
@@ -0,0 +1,284 @@
+"""Slots of servers, granted by the VM that owns a pool's servers in one zone.
+
+Pure: the VM's event loop passes in messages with the time, and sends what ``reply`` gets::
+
+    owner = SlotOwner(limits, reply)
+    owner.set_servers(pool, zone, instances, now)
+    owner.request(message, now)          # reply(address, SlotGrant(...))
+    owner.release(message, now)
+
+A ``pools.PoolShard`` per pool and zone holds the queue, the slots and the health of the servers.
+Repeated sends to the servers of a pool are paid from one budget per shard, whose sum over the zones
+stays below the users' bound.
+"""
+
+import random
+from collections.abc import Callable, Iterable
+
+import msgspec
+
+from dotterelfront import (
+    fleet_messages,
+    fleetmodel,
+    gray_server,
+    health,
+    models,
+    pools,
+    queueing,
+    retries,
+)
+
+SECOND_OWNER_DIVISOR = 3
+"""Share of the slots that a VM grants while another VM is the first owner."""
+ASK_AGAIN_S = 2.0
+"""A waiting request whose VM has not asked again for this long is dropped."""
+GRANT_SLACK_S = 1.0
+"""Time after a request's end until its slot is taken back without a release."""
+MIN_RETRY_AFTER_S = 0.1
+MAX_RETRY_AFTER_S = 1.5
+CONNECT_WITNESSES = 2
+"""VMs that must fail to connect before a server is suspected; one alone may be cut off itself."""
+WITNESS_S = 2.0
+WARMUP_S = 3.0
+"""Time over which a new server's slots come into use."""
+
+CallKey = tuple[models.VmId, int]
+ShardKey = tuple[models.PoolName, models.ZoneName]
+Reply = Callable[[str, fleet_messages.Message], None]
+
+
+class Limits(msgspec.Struct, frozen=True):
+    """Budget of repeated sends of one shard: a share of its requests, and a burst."""
+
+    retry_ratio: float
+    retry_burst: float
+
+
+class _Call(msgspec.Struct):
+    """A request for a slot, from its arrival to its release."""
+
+    key: CallKey
+    ticket_id: int
+    shard: ShardKey
+    reply_to: str
+    ends: float
+    heard: float
+    idempotent: bool
+    repeat: bool
+    attempt_id: int | None = None
+    server: models.ServerId | None = None
+
+
+class _Shard(msgspec.Struct):
+    queue: pools.PoolShard
+    budget: retries.RetryBudget
+    divisor: int = 1
+
+
+class SlotOwner:
+    """All shards that a VM grants slots of; ``is_first`` says whether it is their first owner."""
+
+    def __init__(
+        self,
+        limits: Limits,
+        reply: Reply,
+        is_first: Callable[[ShardKey], bool] = lambda key: True,
+        seed: int = 0,
+    ):
+        self._limits = limits
+        self._reply = reply
+        self._is_first = is_first
+        self._rng = random.Random(seed)
+        self._suspicion = gray_server.Suspicion()
+        self._servers: dict[ShardKey, tuple[fleetmodel.Instance, ...]] = {}
+        self._shards: dict[ShardKey, _Shard] = {}
+        self._calls: dict[CallKey, _Call] = {}
+        self._by_ticket: dict[int, _Call] = {}
+        self._witnesses: dict[models.ServerId, dict[models.VmId, float]] = {}
+        self._next_ticket = 1
+
+    @property
+    def busy(self) -> bool:
+        """Whether any request waits or holds a slot, so that ``tick`` is needed."""
+        return bool(self._calls)
+
+    def set_servers(
+        self,
+        pool: models.PoolName,
+        by_zone: dict[models.ZoneName, tuple[fleetmodel.Instance, ...]],
+        now: float,
+    ) -> None:
+        """Takes the servers of a pool; zones that are not named have none."""
+        known = {key for key in self._servers if key[0] == pool}
+        fresh = {(pool, zone): found for zone, found in by_zone.items()}
+        for key in known - fresh.keys():
+            self._servers.pop(key)
+        self._servers |= fresh
+        for key in known | fresh.keys():
+            shard = self._shards.get(key)
+            if shard is not None:
+                pool_now, servers = _as_pool(key, self._servers.get(key, ()))
+                self._carry_out(key, shard.queue.reconfigure(pool_now, servers, now), now)
+        self._suspicion.keep({server.id for found in self._servers.values() for server in found})
+
+    def request(self, message: fleet_messages.SlotRequest, now: float) -> None:
+        """Takes a request for a slot; the reply comes at once or when a slot is free."""
+        key = (message.sender, message.call_id)
+        call = self._calls.get(key)
+        if call is not None:
+            self._ask_again(call, now)
+            return
+        shard_key = (message.pool, message.zone)
+        shard = self._shard(shard_key, now)
+        if message.repeat and not shard.budget.available():
+            reason = pools.RefuseReason.OVERLOADED
+            self._reply(message.reply_to, self._refusal(message.call_id, reason, shard, now))
+            return
+        call = _Call(
+            key=key,
+            ticket_id=self._next_ticket,
+            shard=shard_key,
+            reply_to=message.reply_to,
+            ends=now + message.left_s,
+            heard=now,
+            idempotent=message.idempotent,
+            repeat=message.repeat,
+        )
+        self._next_ticket += 1
+        self._calls[key] = self._by_ticket[call.ticket_id] = call
+        ticket = queueing.Ticket(
+            ticket_id=call.ticket_id,
+            route=message.route,
+            customer=models.NO_CUSTOMER,
+            priority=message.priority,
+            idempotent=message.idempotent,
+            deadline=call.ends,
+            enqueued=now,
+            avoid=frozenset(message.avoid),
+        )
+        self._carry_out(shard_key, shard.queue.submit(ticket, now, wait=message.wait), now)
+        if shard.queue.queued(call.ticket_id):
+            self._reply(call.reply_to, fleet_messages.SlotWaiting(message.call_id))
+
+    def release(self, message: fleet_messages.SlotRelease, now: float) -> None:
+        """Takes the end of a request, granted or waiting."""
+        call = self._calls.get((message.sender, message.call_id))
+        if call is None:
+            return
+        if call.server is not None:
+            self._observe(message, call.server, now)
+        self._end(call, message.result, now)
+
+    def tick(self, now: float) -> None:
+        """Lets queues and health advance, and drops calls whose VM is gone; every 50 ms."""
+        for key, shard in self._shards.items():
+            if not shard.queue.empty():
+                self._carry_out(key, shard.queue.tick(now), now)
+        for call in list(self._calls.values()):
+            forsaken = call.attempt_id is None and now - call.heard > ASK_AGAIN_S
+            if forsaken or now > call.ends + GRANT_SLACK_S:
+                self._end(call, health.AttemptResult.CANCELLED, now)
+
+    def snapshots(self, now: float) -> list[pools.Snapshot]:
+        return [shard.queue.snapshot(now) for shard in self._shards.values()]
+
+    def _ask_again(self, call: _Call, now: float) -> None:
+        call.heard = now
+        call_id = call.key[1]
+        if call.server is not None:
+            self._reply(call.reply_to, fleet_messages.SlotGrant(call_id, call.server))
+        else:
+            self._reply(call.reply_to, fleet_messages.SlotWaiting(call_id))
+
+    def _observe(
+        self, message: fleet_messages.SlotRelease, server: models.ServerId, now: float
+    ) -> None:
+        if message.result in health.FAILURES:
+            self._suspicion.failed(server, now)
+        elif message.result is health.AttemptResult.ANSWERED:
+            self._suspicion.answered(server, now)
+        elif message.result is health.AttemptResult.CONNECT_FAILED:
+            seen = self._witnesses.setdefault(server, {})
+            seen[message.sender] = now
+            recent = [at for at in seen.values() if now - at <= WITNESS_S]
+            if len(recent) >= CONNECT_WITNESSES:
+                self._suspicion.failed(server, now)
+
+    def _end(self, call: _Call, result: health.AttemptResult, now: float) -> None:
+        self._forget(call)
+        shard = self._shards[call.shard].queue
+        if call.attempt_id is None:
+            effects = shard.withdraw(call.ticket_id, now)
+        else:
+            effects = shard.complete(call.attempt_id, result, now)
+        self._carry_out(call.shard, effects, now)
+
+    def _carry_out(self, key: ShardKey, effects: Iterable[pools.Effect], now: float) -> None:
+        for effect in effects:
+            call = self._by_ticket.pop(effect.ticket_id, None)
+            if call is None:
+                continue
+            if isinstance(effect, pools.Grant):
+                call.attempt_id, call.server = effect.attempt_id, effect.server
+                self._charge(call)
+                self._reply(call.reply_to, fleet_messages.SlotGrant(call.key[1], effect.server))
+            else:
+                self._forget(call)
+                refusal = self._refusal(call.key[1], effect.reason, self._shards[key], now)
+                self._reply(call.reply_to, refusal)
+
+    def _charge(self, call: _Call) -> None:
+        """Counts a send; a repeated one that was let in waits at most until its deadline."""
+        budget = self._shards[call.shard].budget
+        if call.repeat:
+            budget.take()
+        else:
+            budget.on_request()
+
+    def _forget(self, call: _Call) -> None:
+        self._calls.pop(call.key, None)
+        self._by_ticket.pop(call.ticket_id, None)
+
+    def _refusal(
+        self, call_id: int, reason: pools.RefuseReason, shard: _Shard, now: float
+    ) -> fleet_messages.SlotRefusal:
+        """Spreads returns over the time in which room appears, so that they do not come at once."""
+        wait_s = shard.queue.wait_s(now) * self._rng.uniform(0.8, 1.4)
+        bounded = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
+        return fleet_messages.SlotRefusal(call_id, reason, bounded)
+
+    def _shard(self, key: ShardKey, now: float) -> _Shard:
+        shard = self._shards.get(key)
+        if shard is None:
+            pool, servers = _as_pool(key, self._servers.get(key, ()))
+            shard = self._shards[key] = _Shard(
+                pools.PoolShard(
+                    pool,
+                    servers,
+                    now,
+                    rng=random.Random(self._rng.random()),
+                    suspicion=self._suspicion,
+                ),
+                retries.RetryBudget(self._limits.retry_ratio, self._limits.retry_burst),
+            )
+        divisor = 1 if self._is_first(key) else SECOND_OWNER_DIVISOR
+        if divisor != shard.divisor:
+            shard.divisor = divisor
+            self._carry_out(key, shard.queue.set_slot_divisor(divisor, now), now)
+        return shard
+
+
+def _as_pool(
+    key: ShardKey, instances: Iterable[fleetmodel.Instance]
+) -> tuple[models.Pool, tuple[models.Server, ...]]:
+    servers = tuple(
+        models.Server(
+            address=instance.id,
+            zone=instance.zone,
+            slots=instance.slots,
+            state=instance.state,
+        )
+        for instance in instances
+    )
+    pool = models.Pool(key[0], servers, floor=0, warmup_s=WARMUP_S)
+    return pool, servers
