Watch the store from two VMs a zone; tests of the new modules

Change: watch_role picks two watchers a zone by rank among those heard; they push changes to the zone's VMs, one watch covers all keys. A suspected server stays out of use for 1.6 s instead of 0.3 s after one failure. Found by tests: a removed key that was forgotten came back with an old copy; a response to another request that came alone ended its connection. Both failed first.

--- a/dotterelfront/exchange.py
+++ b/dotterelfront/exchange.py
@@ -170,7 +170,9 @@
         if not self._mine(res.fields):
             self.reusable = False
             self._start()
-            self._conn.receive_data(rest)
+            if rest or closed:
+                # No bytes mean the end of the stream to h11.
+                self._conn.receive_data(rest)
             return
         if rest or closed or self._conn.their_state is not h11.DONE:
             self.reusable = False
--- a/dotterelfront/fleet_messages.py
+++ b/dotterelfront/fleet_messages.py
@@ -67,29 +67,31 @@
 
 
 class Ping(Message, frozen=True):
-    """Asks whether the path to a VM works, and says which changes the sender has."""
+    """Says that the sender lives and which changes it has; ``answer`` asks for a ping in return.
+
+    ``well_s`` is set by a VM that watches the store: for how long the store has been well.
+    """
 
     sender: models.VmId
     reply_to: str
+    zone: models.ZoneName
     incarnation: models.Incarnation
     leaving: bool
-    revisions: dict[str, int]
+    revision: int
+    well_s: float | None
     answer: bool = False
-    """Whether this answers a ping."""
 
 
 class Pull(Message, frozen=True):
-    """Asks for the changes of a prefix after a revision."""
+    """Asks for the changes after a revision."""
 
     reply_to: str
-    prefix: str
     after: int
 
 
 class Push(Message, frozen=True):
-    """Changes of a prefix; ``after`` is the revision that they follow on."""
+    """Changes that follow on the revision ``after``."""
 
-    prefix: str
     after: int
     changes: fleetmodel.Changes
 
--- a/dotterelfront/follow.py
+++ b/dotterelfront/follow.py
@@ -1,29 +1,39 @@
-"""Keeps a VM's copy of the store's records up to date, from the store and from other VMs.
+"""Keeps a VM's copy of the store's records up to date, from the store or from other VMs.
 
-One task a prefix lists its records once and then watches for changes. While the store cannot be
-reached, the copy follows other VMs: each VM tells others the revisions that it has, and one that
-has less pulls what it lacks.
+A VM lists all records when it starts. After that the watchers of its zone (``watch_role``) watch
+the store and push what changes to the other VMs; whoever hears that another VM has more pulls it.
+So a VM that the store turns away follows the others, and they follow it.
 """
 
 import asyncio
 import random
 from collections.abc import Callable
 
-from dotterelfront import errors, fleetmodel, logs, replica
+import msgspec
+
+from dotterelfront import errors, fleetmodel, logs, replica, watch_role
 from dotterelfront.platform import store
 
+EVERYTHING = ""
+"""Prefix of all keys: one watch covers configuration, servers and VMs."""
 WATCH_S = 20.0
 """Wait of one watch; the store allows 30 s."""
+BATCH_S = 0.15
+"""Changes are collected for this long between two watches, as each call counts."""
+IDLE_S = 0.1
 BACKOFF_MIN_S = 0.05
 BACKOFF_MAX_S = 0.8
+POLL_S = 0.2
+"""A watch that waits looks this often whether it is still wanted."""
 TROUBLE_S = 0.7
 """Calls that fail for this long mean that the store is in trouble; a watch that is cut does not."""
 
-OnChange = Callable[[replica.Replica, set[str]], None]
-
 
 class StoreState:
-    """Since when the store has answered this VM; ``well_since`` is None while in trouble."""
+    """Since when the store has been well; ``well_since`` is None while it is in trouble.
+
+    A VM that watches knows it from its calls, another one from the watchers that it hears.
+    """
 
     def __init__(self, now: float):
         self.well_since: float | None = now
@@ -35,50 +45,58 @@
             self.well_since = now
             logs.event("store reached")
 
-    def failed(self, now: float) -> None:
+    def failed(self, now: float, since: float | None = None) -> None:
+        """Records a failed call that began at ``since``."""
         if self._failing_since is None:
-            self._failing_since = now
+            self._failing_since = now if since is None else since
         if self.well_since is not None and now - self._failing_since >= TROUBLE_S:
             self.well_since = None
             logs.event("store lost", level="WARNING")
 
+    def reported(self, well_s: float, now: float) -> None:
+        """Takes a watcher's word that the store has been well for ``well_s``."""
+        self._failing_since = None
+        self.well_since = now - well_s
+
+    def well_s(self, now: float) -> float | None:
+        return None if self.well_since is None else now - self.well_since
+
     def trusted(self, now: float, return_s: float) -> bool:
         """Whether a record that vanishes now means that its owner is gone."""
-        return (
-            self._failing_since is None
-            and self.well_since is not None
-            and now - self.well_since >= return_s
-        )
+        well_s = self.well_s(now)
+        return self._failing_since is None and well_s is not None and well_s >= return_s
+
+
+class Callbacks(msgspec.Struct, frozen=True):
+    """What a follower tells its VM.
+
+    ``changed`` gets the keys that changed, ``watched`` the changes that came from the store and the
+    revision that they follow on.
+    """
+
+    changed: Callable[[set[str]], None]
+    watched: Callable[[int, fleetmodel.Changes], None]
 
 
 class Follower:
-    """Follows one prefix; ``on_change`` gets the keys that changed."""
+    """One VM's copy of all records."""
 
     def __init__(
         self,
         client: store.Client,
-        copy: replica.Replica,
         state: StoreState,
-        on_change: OnChange,
+        role: watch_role.WatchRole,
+        callbacks: Callbacks,
         seed: int = 0,
     ):
+        self.copy = replica.Replica()
+        self.listed = False
+        """Whether the copy was complete at some time."""
         self._client = client
-        self._copy = copy
         self._state = state
-        self._on_change = on_change
-        self._rng = random.Random(f"{seed} {copy.prefix}")
-        self._listed = False
-
-    @property
-    def revision(self) -> int:
-        return self._copy.revision
-
-    def behind(self, revision: int) -> bool:
-        """Whether another VM has changes that this copy should have had from the store by now."""
-        return revision > self._copy.revision and self._state.well_since is None
-
-    def since(self, revision: int) -> fleetmodel.Changes | None:
-        return self._copy.since(revision)
+        self._role = role
+        self._callbacks = callbacks
+        self._rng = random.Random(seed)
 
     async def run(self) -> None:
         """Follows the store until cancelled."""
@@ -88,29 +106,56 @@
                 await self._step()
                 delay_s = BACKOFF_MIN_S
             except errors.HistoryLostError:
-                self._listed = False
+                self.listed = False
             except errors.StoreError as exc:
-                self._state.failed(asyncio.get_running_loop().time())
+                self._state.failed(_now())
                 logs.event("store call failed", level="DEBUG", error=str(exc))
                 await asyncio.sleep(delay_s * self._rng.uniform(0.5, 1.0))
                 delay_s = min(BACKOFF_MAX_S, 2 * delay_s)
 
-    def take(self, changes: fleetmodel.Changes) -> None:
-        """Takes changes from another VM, complete from this copy's revision on."""
-        self._report(self._copy.merge(changes, asyncio.get_running_loop().time()))
+    def take(self, after: int, changes: fleetmodel.Changes) -> bool:
+        """Takes another VM's changes; false when this copy lacks some before them."""
+        if after > self.copy.revision:
+            return False
+        self.listed = True
+        self._report(self.copy.merge(changes, _now()))
+        return True
 
     async def _step(self) -> None:
-        loop = asyncio.get_running_loop()
-        if self._listed:
-            changes = await self._client.watch(self._copy.prefix, self._copy.revision, WATCH_S)
-            self._state.succeeded(loop.time())
-            self._report(self._copy.merge(changes, loop.time()))
+        if not self.listed:
+            listing = await self._client.list_all(EVERYTHING)
+            self._state.succeeded(_now())
+            self.listed = True
+            self._report(self.copy.replace(listing, _now()))
+        elif self._wanted():
+            await self._watch()
         else:
-            listing = await self._client.list_all(self._copy.prefix)
-            self._state.succeeded(loop.time())
-            self._listed = True
-            self._report(self._copy.replace(listing, loop.time()))
+            await asyncio.sleep(IDLE_S)
+
+    def _wanted(self) -> bool:
+        return self._role.should_watch(_now()) and self._state.well_since is not None
+
+    async def _watch(self) -> None:
+        after = self.copy.revision
+        call = asyncio.ensure_future(self._client.watch(EVERYTHING, after, WATCH_S))
+        try:
+            while not call.done() and self._wanted():
+                await asyncio.wait([call], timeout=POLL_S)
+        finally:
+            call.cancel()
+        if not call.done():
+            return
+        changes = call.result()
+        self._state.succeeded(_now())
+        self._report(self.copy.merge(changes, _now()))
+        if changes.records:
+            self._callbacks.watched(after, changes)
+            await asyncio.sleep(BATCH_S)
 
     def _report(self, changed: set[str]) -> None:
         if changed:
-            self._on_change(self._copy, changed)
+            self._callbacks.changed(changed)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/dotterelfront/gray_server.py
+++ b/dotterelfront/gray_server.py
@@ -20,16 +20,17 @@
 
 from dotterelfront import models
 
-PRIOR = math.log(0.03 / 0.97)
+PRIOR = math.log(0.05 / 0.95)
 """Log odds of a server to be gray before anything is known."""
-FAILURE_WEIGHT = math.log(0.6 / 0.012)
-"""Log likelihood ratio of a failure: 60% on a gray server, 1.2% on a healthy one."""
+FAILURE_WEIGHT = math.log(0.9 / 0.012)
+"""Log likelihood ratio of a failure: 90% on a gray server, 1.2% on a healthy one."""
 SUCCESS_WEIGHT = math.log(0.4 / 0.988)
-"""Log likelihood ratio of a success."""
-MAX_LEVEL = 8.0
-"""Bound of the log odds, so that a server that recovered is found out soon."""
-HALF_LIFE_S = 1.5
-"""The distance from the prior halves in this time without observations."""
+"""Log likelihood ratio of a success; many gray servers fail only about half of their requests."""
+MAX_LEVEL = 5.0
+"""Bound of the log odds, so that a server that recovered is found out after four seconds."""
+HALF_LIFE_S = 3.0
+"""The distance from the prior halves in this time without observations: a server is used last for
+1.6 s after one failure, and for 3.9 s after two."""
 SUSPECT = 0.0
 """Log odds above which a server is used last."""
 
--- a/dotterelfront/node.py
+++ b/dotterelfront/node.py
@@ -13,6 +13,7 @@
 import time
 
 from dotterelfront import (
+    catalog,
     errors,
     fleet_messages,
     fleet_view,
@@ -23,10 +24,10 @@
     mesh,
     models,
     relay,
-    replica,
     slot_client,
     slot_owner,
     upstream,
+    watch_role,
 )
 from dotterelfront.platform import boot, records, store, wire
 
@@ -34,10 +35,12 @@
 SWEEP_S = 0.5
 PING_S = 1.0
 PING_PEERS = 2
-"""VMs that hear of the sender's revisions each second, besides those that did not answer."""
-LEASE_S = 6.0
-KEEP_S = 2.0
-"""The VM's record lives for three renewals."""
+"""VMs of other zones that a watcher tells of its revision each second."""
+LEASE_S = 15.0
+KEEP_S = 5.0
+"""The VM's record lives for three renewals; calls to a VM that has ended show it sooner."""
+WATCHER_KEEP_S = 0.7
+"""A watch that waits does not show that the store is in trouble; the watchers' renewals do."""
 ACCEPT_AFTER_TERM_S = 3.0
 """The balancer takes a VM out after two checks, one a second, that fail."""
 EXIT_MARGIN_S = 0.4
@@ -61,14 +64,14 @@
         self._view = fleet_view.FleetView(cfg.vm, self._incarnation, now)
         self._client = store.Client(cfg.store_address)
         self._store_state = follow.StoreState(now)
-        self._followers = {
-            prefix: self._follower(prefix, on_change)
-            for prefix, on_change in (
-                (records.CONFIG_PREFIX, self._on_config),
-                (records.SERVERS_PREFIX, self._on_servers),
-                (fleet_view.VMS_PREFIX, self._on_vms),
-            )
-        }
+        self._role = watch_role.WatchRole(cfg.vm.id, now)
+        self._follower = follow.Follower(
+            self._client,
+            self._store_state,
+            self._role,
+            follow.Callbacks(self._on_changed, self._on_watched),
+            seed=self._incarnation,
+        )
         self._mesh = mesh.Mesh(cfg.vm.address, self._on_message)
         self._owner = slot_owner.SlotOwner(
             self._limits(), self._send, self._view.is_first_owner, seed=self._incarnation
@@ -95,10 +98,16 @@
         self._mesh.listen()
         ready = await self._listen(self._ready, self._cfg.ready_address)
         front = await self._listen(self._gateway, self._cfg.http_address)
-        for job in (self._mesh.run, self._tick, self._sweep, self._ping, self._keep_record):
+        for job in (
+            self._mesh.run,
+            self._follower.run,
+            self._tick,
+            self._sweep,
+            self._beat,
+            self._ping,
+            self._keep_record,
+        ):
             self._start(job())
-        for follower in self._followers.values():
-            self._start(follower.run())
         logs.event("started", address=self._cfg.http_address)
         await self._leaving.wait()
         await self._leave(front)
@@ -106,12 +115,6 @@
 
     # Start and end
 
-    def _follower(self, prefix: str, on_change: follow.OnChange) -> follow.Follower:
-        copy = replica.Replica(prefix)
-        return follow.Follower(
-            self._client, copy, self._store_state, on_change, seed=self._incarnation
-        )
-
     def _limits(self) -> slot_owner.Limits:
         bounds = self._cfg.bounds
         return slot_owner.Limits(
@@ -172,19 +175,49 @@
             report = self._view.catalog.expire_lapsed(self._store_state.well_since, now)
             self._set_servers(report.pools)
 
+    async def _beat(self) -> None:
+        """Tells the VMs of the zone that this one watches the store for them."""
+        while True:
+            await asyncio.sleep(watch_role.BEAT_S)
+            if self._watches():
+                message = self._ping_message(answer=False)
+                for vm in self._zone_peers():
+                    self._send(vm.address, message)
+
     async def _ping(self) -> None:
+        """Asks VMs that did not answer, and tells other zones what this VM has."""
         while True:
             await asyncio.sleep(PING_S * self._rng.uniform(0.8, 1.2))
             now = self._loop.time()
             self._view.members.tick(now)
-            others = [vm for vm in self._view.members.listed() if vm.id != self._cfg.vm_id]
-            chosen = self._rng.sample(others, min(PING_PEERS, len(others)))
-            for vm in {vm.id: vm for vm in [*chosen, *self._view.members.suspects(now)]}.values():
-                self._send(vm.address, self._ping_message(answer=False))
+            for vm in self._view.members.suspects(now):
+                self._send(vm.address, self._ping_message(answer=True))
+            if self._watches():
+                self._tell_other_zones()
+
+    def _watches(self) -> bool:
+        """Whether this VM watches the store and the store serves it."""
+        return (
+            self._follower.listed
+            and self._store_state.well_since is not None
+            and self._role.should_watch(self._loop.time())
+        )
+
+    def _zone_peers(self) -> list[models.Vm]:
+        own = self._cfg.vm
+        return [vm for vm in self._view.members.listed() if vm.zone == own.zone and vm.id != own.id]
+
+    def _tell_other_zones(self) -> None:
+        others = [vm for vm in self._view.members.listed() if vm.zone != self._cfg.zone]
+        for vm in self._rng.sample(others, min(PING_PEERS, len(others))):
+            self._send(vm.address, self._ping_message(answer=False))
 
     async def _keep_record(self) -> None:
+        """Keeps the VM's record under its lease; shows a watcher whether the store is well."""
         key, value = self._view.record()
         while True:
+            started = self._loop.time()
+            watches = self._role.should_watch(started)
             try:
                 if self._lease is None:
                     lease = await self._client.lease(LEASE_S)
@@ -193,11 +226,14 @@
                 elif not await self._client.keep(self._lease):
                     self._lease = None
                     continue
-                self._store_state.succeeded(self._loop.time())
+                if watches:
+                    self._store_state.succeeded(self._loop.time())
             except errors.StoreError as exc:
-                self._store_state.failed(self._loop.time())
+                if watches:
+                    self._store_state.failed(self._loop.time(), since=started)
                 logs.event("record not kept", level="DEBUG", error=str(exc))
-            await asyncio.sleep(KEEP_S * self._rng.uniform(0.9, 1.1))
+            interval_s = WATCHER_KEEP_S if watches else KEEP_S
+            await asyncio.sleep(interval_s * self._rng.uniform(0.9, 1.1))
 
     async def _end_record(self) -> None:
         lease, self._lease = self._lease, None
@@ -209,33 +245,34 @@
 
     # Changes of records
 
-    def _on_config(self, copy: replica.Replica, changed: set[str]) -> None:
-        if self._view.on_config(copy.get(records.CONFIG_KEY)):
+    def _on_changed(self, keys: set[str]) -> None:
+        copy, now = self._follower.copy, self._loop.time()
+        trusted = self._store_state.trusted(now, catalog.RETURN_S)
+        if records.CONFIG_KEY in keys:
+            self._on_config(copy.get(records.CONFIG_KEY))
+        servers = sorted(key for key in keys if key.startswith(records.SERVERS_PREFIX))
+        if servers:
+            found = [fleetmodel.Record(key, 0, copy.get(key)) for key in servers]
+            self._set_servers(self._view.on_servers(found, trusted, now))
+        if any(key.startswith(fleet_view.VMS_PREFIX) for key in keys):
+            self._view.on_vms(copy.items(fleet_view.VMS_PREFIX), trusted, now)
+
+    def _on_config(self, raw: bytes | None) -> None:
+        if self._view.on_config(raw):
             self._relay.configure(self._view.config)
             logs.event("configuration in force", revision=self._view.config.revision)
-            self._tell_revisions()
-
-    def _on_servers(self, copy: replica.Replica, changed: set[str]) -> None:
-        now = self._loop.time()
-        trusted = self._store_state.trusted(now, fleet_view.catalog.RETURN_S)
-        found = [fleetmodel.Record(key, 0, copy.get(key)) for key in sorted(changed)]
-        self._set_servers(self._view.on_servers(found, trusted, now))
 
-    def _on_vms(self, copy: replica.Replica, changed: set[str]) -> None:
-        now = self._loop.time()
-        trusted = self._store_state.trusted(now, fleet_view.catalog.RETURN_S)
-        self._view.on_vms(copy.items(), trusted, now)
+    def _on_watched(self, after: int, changes: fleetmodel.Changes) -> None:
+        """Passes on what the store has just told this VM."""
+        message = fleet_messages.Push(after, changes)
+        for vm in self._zone_peers():
+            self._send(vm.address, message)
 
     def _set_servers(self, pools) -> None:
         now = self._loop.time()
         for pool in sorted(pools):
             self._owner.set_servers(pool, self._view.by_zone(pool), now)
 
-    def _tell_revisions(self) -> None:
-        others = [vm for vm in self._view.members.listed() if vm.id != self._cfg.vm_id]
-        for vm in self._rng.sample(others, min(PING_PEERS, len(others))):
-            self._send(vm.address, self._ping_message(answer=False))
-
     # Messages
 
     def _send(self, address: str, message: fleet_messages.Message) -> bool:
@@ -252,7 +289,7 @@
             return
         self._view.members.on_call_failed(vm.id, self._loop.time(), not_sent=True)
         self._mesh.reset(vm.address)
-        self._send(vm.address, self._ping_message(answer=False))
+        self._send(vm.address, self._ping_message(answer=True))
 
     def _on_message(self, message: fleet_messages.AnyMessage) -> None:
         _HANDLERS[type(message)](self, message)
@@ -268,35 +305,36 @@
 
     def _on_ping(self, message: fleet_messages.Ping) -> None:
         now = self._loop.time()
+        self._view.members.on_reached(message.sender, message.incarnation, message.leaving, now)
         if message.answer:
-            self._view.members.on_reached(message.sender, message.incarnation, message.leaving, now)
-        else:
-            self._send(message.reply_to, self._ping_message(answer=True))
-        for prefix, revision in message.revisions.items():
-            follower = self._followers.get(prefix)
-            if follower is not None and follower.behind(revision):
-                pull = fleet_messages.Pull(self._cfg.vm.address, prefix, follower.revision)
-                self._send(message.reply_to, pull)
+            self._send(message.reply_to, self._ping_message(answer=False))
+        if message.well_s is not None and message.zone == self._cfg.zone:
+            self._role.heard(message.sender, now)
+            if not self._role.should_watch(now):
+                self._store_state.reported(message.well_s, now)
+        if message.revision > self._follower.copy.revision:
+            pull = fleet_messages.Pull(self._cfg.vm.address, self._follower.copy.revision)
+            self._send(message.reply_to, pull)
 
     def _on_pull(self, message: fleet_messages.Pull) -> None:
-        follower = self._followers.get(message.prefix)
-        changes = follower and follower.since(message.after)
-        if changes:
-            push = fleet_messages.Push(message.prefix, message.after, changes)
-            self._send(message.reply_to, push)
+        changes = self._follower.copy.since(message.after)
+        if changes is not None:
+            self._send(message.reply_to, fleet_messages.Push(message.after, changes))
 
     def _on_push(self, message: fleet_messages.Push) -> None:
-        follower = self._followers.get(message.prefix)
-        if follower is not None and follower.revision >= message.after:
-            follower.take(message.changes)
+        if not self._follower.take(message.after, message.changes):
+            logs.event("changes out of order", level="DEBUG", after=message.after)
 
     def _ping_message(self, answer: bool) -> fleet_messages.Ping:
+        now = self._loop.time()
         return fleet_messages.Ping(
             sender=self._cfg.vm.id,
             reply_to=self._cfg.vm.address,
+            zone=self._cfg.vm.zone,
             incarnation=self._incarnation,
             leaving=self._leaving.is_set(),
-            revisions={prefix: found.revision for prefix, found in self._followers.items()},
+            revision=self._follower.copy.revision,
+            well_s=self._store_state.well_s(now) if self._watches() else None,
             answer=answer,
         )
 
@@ -313,7 +351,7 @@
             call.head.path == wire.READY_PATH
             and not self._leaving.is_set()
             and self._view.config is not None
-            and self._followers[records.SERVERS_PREFIX].revision > 0
+            and self._follower.listed
         )
         return relay.Answer(200 if ready else 503, [])
 
--- a/dotterelfront/replica.py
+++ b/dotterelfront/replica.py
@@ -1,9 +1,9 @@
-"""A VM's copy of the store's records under one prefix.
+"""A VM's copy of the store's records.
 
 Records come from the store and from other VMs, in any order. All carry revisions of one store, so
 the later revision of a key wins and copies that saw the same changes are equal::
 
-    replica = Replica("servers/")
+    replica = Replica()
     replica.merge(changes, now=3.0)       # keys that changed
     replica.since(411)                    # Changes for a VM that is complete up to 411
 
@@ -27,8 +27,7 @@
 class Replica:
     """Records by key, complete up to ``revision``."""
 
-    def __init__(self, prefix: str):
-        self.prefix = prefix
+    def __init__(self):
         self.revision = 0
         self._held: dict[str, _Held] = {}
         self._forgotten = 0
@@ -38,10 +37,12 @@
         held = self._held.get(key)
         return held.record.value if held else None
 
-    def items(self) -> list[fleetmodel.Record]:
-        """Returns the records that exist, by key."""
+    def items(self, prefix: str) -> list[fleetmodel.Record]:
+        """Returns the records that exist under a prefix, by key."""
         return [
-            held.record for _, held in sorted(self._held.items()) if held.record.value is not None
+            held.record
+            for key, held in sorted(self._held.items())
+            if key.startswith(prefix) and held.record.value is not None
         ]
 
     def merge(self, changes: fleetmodel.Changes, now: float) -> set[str]:
@@ -49,11 +50,10 @@
         changed = set()
         for record in changes.records:
             held = self._held.get(record.key)
-            if not record.key.startswith(self.prefix):
-                continue
             if held is not None and held.record.revision >= record.revision:
                 continue
-            if held is None and record.value is None and record.revision <= self._forgotten:
+            if held is None and record.revision <= self._forgotten:
+                # Removed and forgotten; this copy would have it otherwise.
                 continue
             if held is None or held.record.value != record.value:
                 changed.add(record.key)
@@ -73,7 +73,11 @@
             for key, held in self._held.items()
             if key not in listed and held.record.value is not None
         )
-        return self.merge(fleetmodel.Changes(listing.records + gone, listing.revision), now)
+        # The listing may show keys that this copy missed, however old.
+        forgotten, self._forgotten = self._forgotten, 0
+        changed = self.merge(fleetmodel.Changes(listing.records + gone, listing.revision), now)
+        self._forgotten = max(self._forgotten, forgotten)
+        return changed
 
     def since(self, revision: int) -> fleetmodel.Changes | None:
         """Returns the changes after a revision; None when removals since then are forgotten."""
--- a/dotterelfront/slot_client.py
+++ b/dotterelfront/slot_client.py
@@ -88,6 +88,13 @@
 
     async def acquire(self, need: Need) -> Lease:
         """Returns a slot; raises ``errors.OverloadedError`` with the time to come back."""
+        try:
+            async with asyncio.timeout_at(need.ends):
+                return await self._acquire(need)
+        except TimeoutError as exc:
+            raise errors.OverloadedError("no slot in time", NO_SERVER_RETRY_S) from exc
+
+    async def _acquire(self, need: Need) -> Lease:
         zones = self._ordered_zones(need.pool)
         if not zones:
             raise errors.OverloadedError("the pool has no server", NO_SERVER_RETRY_S)
--- /dev/null
+++ b/tests/test_slot_client.py
@@ -0,0 +1,118 @@
+"""Asking for slots: nearest zone first, owners that do not answer are passed over."""
+
+import asyncio
+
+import pytest
+
+from dotterelfront import errors, fleet_messages, health, models, pools, slot_client
+
+VM = models.Vm(models.VmId("me"), "me:1", models.ZoneName("a"), "r")
+NO_ROOM, DEADLINE = pools.RefuseReason.NO_ROOM, pools.RefuseReason.DEADLINE
+
+
+def vm(name):
+    return models.Vm(models.VmId(name), f"{name}:1", models.ZoneName("a"), "r")
+
+
+class Fleet:
+    """Owners of two zones; ``script`` maps an owner to its replies, none for silence."""
+
+    def __init__(self, monkeypatch, script, zones=("b", "a")):
+        monkeypatch.setattr(slot_client, "REPLY_TIMEOUT_S", 0.0)
+        monkeypatch.setattr(slot_client, "ASK_AGAIN_S", 0.0)
+        self.script = {name: list(replies) for name, replies in script.items()}
+        self.sent, self.unreachable = [], []
+        topology = slot_client.Topology(
+            lambda pool: list(zones),
+            lambda pool, zone: [vm(f"{zone}1"), vm(f"{zone}2")],
+            lambda owner: self.unreachable.append(owner.id),
+        )
+        self.client = slot_client.SlotClient(VM, self.send, topology)
+
+    def send(self, owner, message):
+        self.sent.append((owner.id, message))
+        if isinstance(message, fleet_messages.SlotRequest) and self.script.get(owner.id):
+            self.client.on_reply(reply(self.script[owner.id].pop(0), message.call_id))
+        return True
+
+    def acquire(self):
+        async def play():
+            ends = asyncio.get_running_loop().time() + 5.0
+            need = slot_client.Need("orders", "r", models.Priority.NORMAL, True, ends)
+            lease = await self.client.acquire(need)
+            lease.release(health.AttemptResult.ANSWERED)
+            return lease
+
+        return asyncio.run(play())
+
+    @property
+    def asked(self):
+        return [
+            (name, message.wait)
+            for name, message in self.sent
+            if isinstance(message, fleet_messages.SlotRequest)
+        ]
+
+    @property
+    def released(self):
+        return [
+            (name, message.result)
+            for name, message in self.sent
+            if isinstance(message, fleet_messages.SlotRelease)
+        ]
+
+
+def reply(step, call_id):
+    if isinstance(step, pools.RefuseReason):
+        return fleet_messages.SlotRefusal(call_id, step, 0.4)
+    if step == "waiting":
+        return fleet_messages.SlotWaiting(call_id)
+    return fleet_messages.SlotGrant(call_id, step)
+
+
+def test_the_own_zone_comes_first(monkeypatch):
+    """Guards against bodies that cross zones without need."""
+    fleet = Fleet(monkeypatch, {"a1": ["i-1"], "b1": ["i-2"]})
+    assert fleet.acquire().server == "i-1"
+    assert fleet.asked == [("a1", False)]
+    assert fleet.released == [("a1", health.AttemptResult.ANSWERED)]
+
+
+def test_a_free_slot_in_another_zone_goes_before_a_queue(monkeypatch):
+    """Guards against requests that wait while other zones have room."""
+    fleet = Fleet(monkeypatch, {"a1": [NO_ROOM], "b1": ["i-2"]})
+    assert fleet.acquire().server == "i-2"
+
+
+def test_without_room_anywhere_the_request_waits_in_its_own_zone(monkeypatch):
+    fleet = Fleet(monkeypatch, {"a1": [NO_ROOM, "waiting", "waiting", "i-1"], "b1": [NO_ROOM]})
+    assert fleet.acquire().server == "i-1"
+    assert fleet.asked[:3] == [("a1", False), ("b1", False), ("a1", True)]
+
+
+def test_a_silent_owner_is_passed_over(monkeypatch):
+    """Guards against requests that wait for a VM that has ended."""
+    fleet = Fleet(monkeypatch, {"a2": ["i-1"]})
+    assert fleet.acquire().server == "i-1"
+    assert fleet.unreachable == ["a1"]
+    assert ("a1", health.AttemptResult.CANCELLED) in fleet.released
+
+
+def test_this_vm_grants_for_itself_when_no_owner_answers(monkeypatch):
+    """Guards against a fleet that serves nothing while messages between VMs are lost."""
+    fleet = Fleet(monkeypatch, {"me": ["i-3"]})
+    assert fleet.acquire().server == "i-3"
+
+
+def test_a_refusal_carries_the_time_to_come_back(monkeypatch):
+    fleet = Fleet(monkeypatch, {"a1": [NO_ROOM, DEADLINE], "b1": [NO_ROOM]})
+    with pytest.raises(errors.OverloadedError) as caught:
+        fleet.acquire()
+    assert caught.value.retry_after_s == 0.4
+
+
+def test_a_pool_without_servers_refuses_at_once(monkeypatch):
+    fleet = Fleet(monkeypatch, {}, zones=())
+    with pytest.raises(errors.OverloadedError):
+        fleet.acquire()
+    assert fleet.sent == []
--- /dev/null
+++ b/tests/test_slot_owner.py
@@ -0,0 +1,206 @@
+"""Granting of slots: never more than there are, one final reply a request, repeats in budget."""
+
+import random
+
+from hypothesis import settings, stateful
+from hypothesis import strategies as st
+
+from dotterelfront import fleet_messages, fleetmodel, health, models, pools, slot_owner
+
+POOL, ZONE = models.PoolName("orders"), models.ZoneName("a")
+SLOTS = 2
+RESULT = health.AttemptResult
+
+
+def servers(*names, state=models.ServerState.ACTIVE):
+    return tuple(
+        fleetmodel.Instance(models.ServerId(name), f"{name}:80", POOL, ZONE, SLOTS, state, 1)
+        for name in names
+    )
+
+
+def make_request(call_id, sender="vm-1", **changes):
+    fields = {
+        "sender": sender,
+        "reply_to": sender,
+        "call_id": call_id,
+        "pool": POOL,
+        "zone": ZONE,
+        "route": "r",
+        "priority": models.Priority.NORMAL,
+        "idempotent": True,
+        "left_s": 5.0,
+        "wait": True,
+        "repeat": False,
+    }
+    return fleet_messages.SlotRequest(**fields | changes)
+
+
+class Owner:
+    """A slot owner with its replies."""
+
+    def __init__(self, names=("i-1", "i-2"), ratio=0.2, burst=2.0, **options):
+        self.replies = []
+        limits = slot_owner.Limits(ratio, burst)
+        self.core = slot_owner.SlotOwner(
+            limits, lambda address, message: self.replies.append((address, message)), **options
+        )
+        self.core.set_servers(POOL, {ZONE: servers(*names)}, 0.0)
+
+    def ask(self, call_id, now=100.0, **changes):
+        """Sends a request and returns the last reply to it."""
+        self.core.request(make_request(call_id, **changes), now)
+        return self.last(call_id)
+
+    def last(self, call_id):
+        found = [message for _, message in self.replies if message.call_id == call_id]
+        return found[-1] if found else None
+
+    def end(self, call_id, result=RESULT.ANSWERED, now=100.0, sender="vm-1"):
+        self.core.release(fleet_messages.SlotRelease(sender, call_id, result), now)
+
+
+def granted(message):
+    return isinstance(message, fleet_messages.SlotGrant)
+
+
+def refused(message):
+    return isinstance(message, fleet_messages.SlotRefusal)
+
+
+def test_a_failure_sends_the_next_requests_to_other_servers():
+    """Guards against a gray server that looks idle because it fails at once."""
+    owner = Owner()
+    first = owner.ask(1).server
+    owner.end(1, RESULT.SERVER_ERROR)
+    others = {owner.ask(number).server for number in (2, 3)}
+    assert first not in others
+
+
+def test_a_request_that_may_not_wait_gets_no_suspected_server():
+    """Guards against a suspected server near by while a good one in another zone is free."""
+    owner = Owner(names=["i-1"])
+    owner.ask(1)
+    owner.end(1, RESULT.SERVER_ERROR)
+    reply = owner.ask(2, wait=False)
+    assert refused(reply)
+    assert reply.reason is pools.RefuseReason.NO_ROOM
+    assert granted(owner.ask(3))
+
+
+def test_one_vm_that_cannot_connect_does_not_condemn_a_server():
+    """Guards against a VM that is cut off and takes healthy servers out for all."""
+    owner = Owner(names=["i-1"])
+    for number in range(5):
+        owner.ask(number)
+        owner.end(number, RESULT.CONNECT_FAILED)
+    assert granted(owner.ask(9, wait=False))
+    owner.end(9, RESULT.CONNECT_FAILED)
+    owner.ask(10, sender="vm-2")
+    owner.end(10, RESULT.CONNECT_FAILED, sender="vm-2")
+    assert refused(owner.ask(11, wait=False))
+
+
+def test_repeats_are_bounded_by_requests_and_burst():
+    """Guards against repeated sends that multiply the load on a failing service."""
+    owner = Owner(burst=2.0, ratio=0.5)
+    grants = 0
+    for number in range(20):
+        if granted(owner.ask(number, repeat=True)):
+            grants += 1
+            owner.end(number)
+    assert grants == 2
+    for number in range(100, 104):
+        owner.ask(number)
+        owner.end(number)
+    repeated = [granted(owner.ask(number, repeat=True)) for number in range(200, 204)]
+    assert repeated.count(True) == 2
+
+
+def test_a_second_message_of_a_request_takes_no_second_slot():
+    """Guards against slots that leak when a VM asks again."""
+    owner = Owner(names=["i-1"])
+    assert owner.ask(1).server == owner.ask(1).server
+    assert granted(owner.ask(2))
+
+
+def test_a_slot_without_release_is_taken_back():
+    """Guards against slots lost with the VM that held them."""
+    owner = Owner(names=["i-1"])
+    for number in range(SLOTS):
+        owner.ask(number, left_s=1.0)
+    assert not granted(owner.ask(9, left_s=50.0))
+    owner.core.tick(102.5)
+    assert granted(owner.last(9)) or not owner.core.busy
+
+
+def test_a_waiting_request_whose_vm_is_silent_is_dropped():
+    """Guards against slots granted to VMs that are gone."""
+    owner = Owner(names=["i-1"])
+    for number in range(SLOTS):
+        owner.ask(number, left_s=60.0)
+    owner.ask(9, left_s=60.0)
+    owner.core.tick(100.0 + slot_owner.ASK_AGAIN_S + 0.1)
+    owner.end(0, now=103.0)
+    assert not granted(owner.last(9))
+
+
+def test_a_vm_that_is_not_the_first_owner_grants_a_share():
+    """Guards against twice the slots of a server while two VMs act as its owner."""
+    owner = Owner(names=["i-1", "i-2"], is_first=lambda key: False)
+    grants = [granted(owner.ask(number)) for number in range(4)]
+    assert grants.count(True) == 2
+
+
+class Grants(stateful.RuleBasedStateMachine):
+    """Any order of requests, releases, repetitions, ticks and changes of the servers."""
+
+    def __init__(self):
+        super().__init__()
+        self.now, self.calls, self.rng = 100.0, {}, random.Random(1)
+        self.owner = Owner(burst=5.0)
+        self.names = ["i-1", "i-2"]
+
+    @stateful.rule(wait=st.booleans(), repeat=st.booleans(), left_s=st.floats(0.1, 3.0))
+    def request(self, wait, repeat, left_s):
+        call_id = len(self.calls) + 1
+        self.calls[call_id] = self.now + left_s
+        self.owner.ask(call_id, self.now, wait=wait, repeat=repeat, left_s=left_s)
+
+    @stateful.precondition(lambda self: self.calls)
+    @stateful.rule(data=st.data(), result=st.sampled_from(list(RESULT)))
+    def release(self, data, result):
+        call_id = data.draw(st.sampled_from(sorted(self.calls)))
+        self.owner.end(call_id, result, self.now)
+
+    @stateful.precondition(lambda self: self.calls)
+    @stateful.rule(data=st.data())
+    def ask_again(self, data):
+        call_id = data.draw(st.sampled_from(sorted(self.calls)))
+        if self.owner.core.busy and not refused(self.owner.last(call_id)):
+            self.owner.ask(call_id, self.now)
+
+    @stateful.rule(step_s=st.floats(0.01, 1.0))
+    def tick(self, step_s):
+        self.now += step_s
+        self.owner.core.tick(self.now)
+
+    @stateful.rule(names=st.sets(st.sampled_from(["i-1", "i-2", "i-3"])))
+    def change_servers(self, names):
+        self.owner.core.set_servers(POOL, {ZONE: servers(*sorted(names))}, self.now)
+
+    @stateful.invariant()
+    def no_server_is_overbooked(self):
+        for snapshot in self.owner.core.snapshots(self.now):
+            for server in snapshot.servers:
+                assert server.in_flight <= SLOTS
+
+    @stateful.invariant()
+    def nothing_is_kept_for_long(self):
+        if not self.calls or self.now > max(self.calls.values()) + slot_owner.GRANT_SLACK_S + 1.1:
+            self.owner.core.tick(self.now)
+            assert not self.owner.core.busy
+
+
+TestGrants = Grants.TestCase
+TestGrants.settings = settings(max_examples=60, stateful_step_count=30)
