--- a/dotterelfront/relay.py
+++ b/dotterelfront/relay.py
@@ -23,6 +23,7 @@
     fleetmodel,
     headers,
     health,
+    logs,
     models,
     routing,
     slot_client,
@@ -169,8 +170,11 @@
         result = health.AttemptResult.CANCELLED
         try:
             call.committed = not route.idempotent
+            started = asyncio.get_running_loop().time()
             outcome = await self._send(lease.server, req, progress)
             result = _RESULTS[outcome.verdict]
+            if outcome.verdict is not Verdict.ANSWERED:
+                _log_failure(req, route, lease.server, outcome, started)
             return outcome
         finally:
             call.committed = False
@@ -240,6 +244,24 @@
         return self._rng.choices(route.parts, weights)[0].pool
 
 
+def _log_failure(
+    req: upstream.UpstreamRequest,
+    route: fleetmodel.FleetRoute,
+    server: models.ServerId,
+    outcome: _Outcome,
+    started: float,
+) -> None:
+    logs.event(
+        "attempt failed",
+        request=req.request_id,
+        route=route.name,
+        server=server,
+        verdict=outcome.verdict.value,
+        status=outcome.res.status if outcome.res else 0,
+        after_ms=round((asyncio.get_running_loop().time() - started) * 1000),
+    )
+
+
 def classify(res: exchange.Response) -> Verdict:
     """Returns what a complete response of a server means."""
     if wire.not_run(res.status, res.fields):
