--- a/dotterelfront/relay.py
+++ b/dotterelfront/relay.py
@@ -36,6 +36,8 @@
 PATH_MEMORY_S = 3.0
 """A server to which this VM could not connect is avoided for this long."""
 DEFAULT_RETRY_AFTER_S = 0.5
+END_S = 0.1
+"""A failure that comes this close to a request's end is due to its time, not to the server."""
 
 
 class Call(msgspec.Struct):
@@ -197,7 +199,11 @@
             return _Outcome(Verdict.TIMEOUT)
         except errors.ExchangeError:
             return _Outcome(Verdict.LOST)
-        return _Outcome(classify(res), res)
+        verdict = classify(res)
+        if verdict is Verdict.FAILED and asyncio.get_running_loop().time() > progress.ends - END_S:
+            # The server stopped at the end of the time that it was given.
+            verdict = Verdict.TIMEOUT
+        return _Outcome(verdict, res)
 
     def _again(self, route: fleetmodel.FleetRoute, outcome: _Outcome, progress: _Progress) -> bool:
         """Records an outcome; returns whether the request goes to another server."""
@@ -274,7 +280,7 @@
 def _answer(outcome: _Outcome, progress: _Progress) -> Answer:
     """Returns the final answer after the last attempt."""
     res = outcome.res
-    if outcome.verdict in (Verdict.ANSWERED, Verdict.FAILED) and res.status not in NOT_RUN_STATUSES:
+    if outcome.verdict in _PASSED_ON and res is not None and res.status not in NOT_RUN_STATUSES:
         return Answer(res.status, list(wire.from_server(res.headers, res.fields)), res.body)
     if not progress.ran:
         raise errors.OverloadedError("no server took the request", DEFAULT_RETRY_AFTER_S)
@@ -283,6 +289,8 @@
     raise errors.OutcomeUnknownError("no usable response")
 
 
+_PASSED_ON = frozenset([Verdict.ANSWERED, Verdict.FAILED, Verdict.TIMEOUT])
+"""Verdicts after which a complete response goes to the caller."""
 NOT_RUN_STATUSES = frozenset([408, 421, 429, 503])
 """Statuses that tell a caller that its request was not run; a server's own may be untrue."""
 
--- a/dotterelfront/slot_owner.py
+++ b/dotterelfront/slot_owner.py
@@ -42,6 +42,9 @@
 WARMUP_S = 3.0
 """Time over which a new server's slots come into use."""
 
+SUSPECT_RESULTS = frozenset([health.AttemptResult.SERVER_ERROR, health.AttemptResult.BROKEN])
+"""A timeout says as much about the request, whose time may be short, as about the server."""
+
 CallKey = tuple[models.VmId, int]
 ShardKey = tuple[models.PoolName, models.ZoneName]
 Reply = Callable[[str, fleet_messages.Message], None]
@@ -193,7 +196,7 @@
     def _observe(
         self, message: fleet_messages.SlotRelease, server: models.ServerId, now: float
     ) -> None:
-        if message.result in health.FAILURES:
+        if message.result in SUSPECT_RESULTS:
             self._suspicion.failed(server, now)
         elif message.result is health.AttemptResult.ANSWERED:
             self._suspicion.answered(server, now)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -85,14 +85,14 @@
     return relay.Call(head, b"b", arrived if arrived is not None else 0.0)
 
 
-def handle(steps, slots=None, path="/x/1", **config):
+def handle(steps, slots=None, path="/x/1", deadline="2000", **config):
     """Plays one request; returns the answer or error, the slots and the servers."""
     slots, servers = slots or Slots(), Servers([STEPS[step] for step in steps])
 
     async def play():
         subject = relay.Relay(slots, instance, servers)
         subject.configure(configuration(**config))
-        call = make_call(path, arrived=asyncio.get_running_loop().time())
+        call = make_call(path, deadline, arrived=asyncio.get_running_loop().time())
         try:
             return await subject.handle(call)
         except errors.RequestError as exc:
@@ -152,6 +152,12 @@
     assert slots.needs[1].avoid[0] == servers.sent[0][0]
 
 
+def test_a_failure_at_the_end_of_the_time_is_a_timeout():
+    """Guards against routes with short timeouts that make healthy servers suspect."""
+    answer, slots, _ = handle(["failure"], deadline="50")
+    assert (answer.status, slots.results) == (500, [health.AttemptResult.TIMEOUT])
+
+
 def test_a_server_s_failure_is_passed_on_unchanged():
     answer, _, _ = handle(["failure"])
     assert (answer.status, answer.body) == (500, b"ok")
--- a/tests/test_slot_owner.py
+++ b/tests/test_slot_owner.py
@@ -77,6 +77,14 @@
     assert first not in others
 
 
+def test_a_request_whose_time_was_short_condemns_no_server():
+    """Guards against routes with short timeouts that make healthy servers suspect."""
+    owner = Owner(names=["i-1"])
+    owner.ask(1)
+    owner.end(1, RESULT.TIMEOUT)
+    assert granted(owner.ask(2, wait=False))
+
+
 def test_a_request_that_may_not_wait_gets_no_suspected_server():
     """Guards against a suspected server near by while a good one in another zone is free."""
     owner = Owner(names=["i-1"])
