--- a/dotterelfront/gray_server.py
+++ b/dotterelfront/gray_server.py
@@ -27,10 +27,10 @@
 SUCCESS_WEIGHT = math.log(0.4 / 0.988)
 """Log likelihood ratio of a success; many gray servers fail only about half of their requests."""
 MAX_LEVEL = 5.0
-"""Bound of the log odds, so that a server that recovered is found out after four seconds."""
-HALF_LIFE_S = 3.0
+"""Bound of the log odds, so that a server that recovered is found out after six seconds."""
+HALF_LIFE_S = 4.0
 """The distance from the prior halves in this time without observations: a server is used last for
-1.6 s after one failure, and for 3.9 s after two."""
+2.2 s after one failure, as long as a gray period usually lasts, and for 5 s after two."""
 SUSPECT = 0.0
 """Log odds above which a server is used last."""
 
