Wait for good servers; refusals with free slots cost no capacity; suspect hangs early

Change: requests wait a quarter of their time for a server that is not suspected, trials are left to requests that may repeat; ShedLimits moves out of pools and takes no slots from a server that is not full; two requests at 4 times the mean make a server suspect; waiting requests look for slots in other zones; connecting is given up after 0.15 s and remembered for 8 s. Ruled out: excluding suspects from the capacity, which blocked a pool whose overdue requests sat on a suspect (its test failed).

--- a/dotterelfront/gray_server.py
+++ b/dotterelfront/gray_server.py
@@ -33,12 +33,24 @@
 2.2 s after one failure, as long as a gray period usually lasts, and for 5 s after two."""
 SUSPECT = 0.0
 """Log odds above which a server is used last."""
+LATE_WEIGHT = 2.0
+"""Log likelihood ratio of a request that runs far beyond its usual time: 3% of the requests are
+stragglers, a server that hangs has nothing else. Two late requests make a server suspect."""
+LATE_FACTOR = 4.0
+"""A request is late after this many times its route's mean."""
+HOLD_SHARE = 0.25
+"""A request waits for a server that is not suspected for this part of its time. Gray servers often
+fail at once, so that they look idle when the good ones are full."""
+TRIAL_S = 0.5
+"""A suspected server gets a request that may be repeated this often."""
 
 
 class _Level(msgspec.Struct):
     value: float = 0.0
     """Distance from the prior."""
     at: float = 0.0
+    used: float = 0.0
+    """When the server last got a request."""
 
 
 class Suspicion:
@@ -61,6 +73,21 @@
         if server in self._levels:
             self._observe(server, SUCCESS_WEIGHT, now)
 
+    def late(self, server: models.ServerId, now: float) -> None:
+        """Records a request that has run far beyond its usual time and is not finished."""
+        self._observe(server, LATE_WEIGHT, now)
+
+    def used(self, server: models.ServerId, now: float) -> None:
+        """Records that a server got a request."""
+        found = self._levels.get(server)
+        if found is not None:
+            found.used = now
+
+    def trial_due(self, server: models.ServerId, now: float) -> bool:
+        """Whether a suspected server should show with one request whether it has recovered."""
+        found = self._levels.get(server)
+        return found is None or now - found.used >= TRIAL_S
+
     def keep(self, servers: set[models.ServerId]) -> None:
         """Forgets all other servers."""
         for server in self._levels.keys() - servers:
@@ -68,7 +95,8 @@
 
     def _observe(self, server: models.ServerId, weight: float, now: float) -> None:
         value = min(MAX_LEVEL - PRIOR, max(0.0, self._distance(server, now) + weight))
-        self._levels[server] = _Level(value, now)
+        held = self._levels.get(server)
+        self._levels[server] = _Level(value, now, held.used if held else now)
 
     def _distance(self, server: models.ServerId, now: float) -> float:
         found = self._levels.get(server)
--- a/dotterelfront/pools.py
+++ b/dotterelfront/pools.py
@@ -20,7 +20,7 @@
 
 import msgspec
 
-from dotterelfront import gray_server, health, models, queueing
+from dotterelfront import gray_server, health, load_shedding, models, queueing
 
 MAX_QUEUE_LENGTH = 256
 RESERVED_SHARE = 0.25
@@ -35,14 +35,6 @@
 """A request is overdue after this many times the 95th percentile of its route."""
 OVERDUE_CAP = 0.25
 """A route with overdue requests on this share of the slots is treated as long."""
-SHED_FACTOR = 0.7
-"""Slots of a server are reduced by this factor for each request that it sheds."""
-SHED_RECOVERY_PER_S = 0.1
-"""Share of its slots that a server regains per second."""
-SHED_PAUSE_S = 0.05
-MAX_SHED_PAUSE_S = 1.0
-"""A server that sheds gets no request for a pause, doubled at each refusal in a row. A refusal
-takes no time, so without the pause the least loaded server would be the one that refuses."""
 GRANT_RATE_S = 1.0
 """Time constant of the slot time granted to each class."""
 
@@ -114,18 +106,6 @@
     overdue: bool = False
 
 
-class _Shedding(msgspec.Struct):
-    """What a server's refusals left it: a share of its slots, regained over time, and a pause."""
-
-    share: float = 1.0
-    since: float = 0.0
-    until: float = 0.0
-    in_row: int = 0
-
-    def share_at(self, now: float) -> float:
-        return min(1.0, self.share + SHED_RECOVERY_PER_S * (now - self.since))
-
-
 class PoolShard:
     """Queue, slots and health of the servers of one shard.
 
@@ -160,7 +140,7 @@
         self._long: set[models.RouteName] = set()
         self._short_in_flight = 0.0
         self._granted = [(0.0, now) for _ in models.Priority]
-        self._shedding: dict[models.ServerId, _Shedding] = {}
+        self.shedding = load_shedding.ShedLimits()
         self._platform_leaving: frozenset[models.ServerId] = frozenset()
         self._signalled_leaving: set[models.ServerId] = set()
         self._full = False
@@ -243,7 +223,7 @@
         for address, server in old.items():
             if self._servers.get(address) != server:
                 self._signalled_leaving.discard(address)
-                self._shedding.pop(address, None)
+                self.shedding.forget(address)
         for route in [r for r, last in self._last_use.items() if now - last > FORGET_S]:
             self._forget(route)
         try:
@@ -296,9 +276,13 @@
             self._advance(now)
         return self.take_effects()
 
+    def usual_s(self, route: models.RouteName) -> float | None:
+        """Returns the mean time of a route, None while too little is known."""
+        return self._times.known_mean(route)
+
     def wait_s(self, now: float) -> float:
         """Returns the time in seconds until what waits now should have slots."""
-        return self._queue.total_work() / max(1, self._capacity)
+        return self._queue.total_work() / self._good_slots
 
     def has_servers(self) -> bool:
         return bool(self._servers)
@@ -357,6 +341,8 @@
             if entry is None:
                 return
             server = self._pick(entry.ticket, now)
+            if server is not None and self._holds(entry.ticket, server, now):
+                return
             if server is None:
                 # A server may be eligible for idempotent requests only, so this ticket must be one
                 # to show that no other ticket can have a slot either.
@@ -399,6 +385,7 @@
             now,
         )
         self.counters["granted"] += 1
+        self._suspicion.used(server, now)
         self._effects.append(Grant(ticket.ticket_id, server, attempt.attempt_id))
         self.health.on_start(attempt, now)
 
@@ -454,8 +441,7 @@
             busy = self._busy[address]
             if busy >= server.slots:
                 continue
-            shed = self._shedding.get(address)
-            if shed and now < shed.until:
+            if self.shedding.paused(address, now):
                 continue
             usable = self._usable(server, now)
             if busy >= usable or not self.health.eligible(address, idempotent, now):
@@ -475,9 +461,20 @@
                     best = address
         return best
 
+    def _holds(self, ticket: queueing.Ticket, server: models.ServerId, now: float) -> bool:
+        """Whether a ticket rather waits for a server that is not suspected."""
+        if not self._suspicion.suspect(server, now) or self._all_suspect(now):
+            return False
+        if ticket.idempotent and self._suspicion.trial_due(server, now):
+            return False
+        return now < ticket.enqueued + gray_server.HOLD_SHARE * (ticket.deadline - ticket.enqueued)
+
+    def _all_suspect(self, now: float) -> bool:
+        return all(self._suspicion.suspect(address, now) for address in self._active)
+
     def _usable(self, server: models.Server, now: float) -> int:
-        shed = self._shedding.get(server.address)
-        share = self.health.slot_share(server.address, now) * (shed.share_at(now) if shed else 1.0)
+        address = server.address
+        share = self.health.slot_share(address, now) * self.shedding.share(address, now)
         return max(1, int(server.slots * share / self._slot_divisor + 1e-9))
 
     def _measure_capacity(self, now: float) -> int:
@@ -491,22 +488,25 @@
             ),
         )
 
+    def _measure_good_slots(self, now: float) -> int:
+        """Returns the part of the capacity that is not on suspected servers."""
+        if self._all_suspect(now):
+            return self._capacity
+        suspected = sum(
+            self._usable(server, now)
+            for address, server in self._active.items()
+            if self._suspicion.suspect(address, now)
+        )
+        return max(1, self._capacity - suspected)
+
     def _note_shedding(
-        self, server: models.ServerId, result: health.AttemptResult, now: float
+        self, address: models.ServerId, result: health.AttemptResult, now: float
     ) -> None:
-        shed = self._shedding.get(server)
+        """Takes a result after its request has been taken off the server's count."""
         if result is not health.AttemptResult.REFUSED:
-            if shed:
-                shed.in_row = 0
-            return
-        if server not in self._servers:
-            return
-        if shed is None:
-            shed = self._shedding[server] = _Shedding()
-        shed.share = max(0.1, shed.share_at(now) * SHED_FACTOR)
-        shed.since = now
-        shed.until = now + min(MAX_SHED_PAUSE_S, SHED_PAUSE_S * 2 ** min(shed.in_row, 10))
-        shed.in_row += 1
+            self.shedding.accepted(address)
+        elif (server := self._servers.get(address)) is not None:
+            self.shedding.refused(address, self._busy[address] + 1, server.slots, now)
 
     def _adapt(self, now: float) -> None:
         """Updates the servers that may get work, and what changes slowly: capacity, long routes."""
@@ -517,6 +517,7 @@
             if server.state is models.ServerState.ACTIVE and address not in leaving
         }
         self._capacity = self._measure_capacity(now)
+        self._good_slots = self._measure_good_slots(now)
         self._long = self._times.long_routes(LONG_FACTOR, now, RECENT_S)
         gain = 1 - math.exp(-(now - self._last_tick) / GRANT_RATE_S)
         self._short_in_flight += gain * (len(self._in_flight) - self._slow - self._short_in_flight)
@@ -567,7 +568,7 @@
         free = len(self._in_flight) < self._capacity
         if free and (not long or (not self._queue and self._slow < self._long_limit)):
             return service
-        drain = max(1, self._capacity - self._overdue.total())
+        drain = max(1, self._good_slots - self._overdue.total())
         higher, own = self._queue.work_ahead(ticket, cost, long)
         rate = sum(self._grant_rate(priority, now) for priority in range(ticket.priority))
         share = max(queueing.MIN_SHARE, 1 - rate / drain)
--- a/dotterelfront/queueing.py
+++ b/dotterelfront/queueing.py
@@ -370,6 +370,11 @@
         time = self._routes.get(route)
         return time.mean if time else self.DEFAULT_S
 
+    def known_mean(self, route: models.RouteName) -> float | None:
+        """Returns the mean, None while there are too few samples."""
+        time = self._routes.get(route)
+        return time.mean if time and time.samples >= self.MIN_SAMPLES else None
+
     def median(self, route: models.RouteName, now: float) -> float:
         """Returns the usual time, 0 while unknown, less and less the older the last sample is."""
         time = self._routes.get(route)
--- a/dotterelfront/relay.py
+++ b/dotterelfront/relay.py
@@ -33,7 +33,7 @@
 
 MAX_CONNECTS = 4
 """Servers that are tried for one request when connections fail; no byte reaches these."""
-PATH_MEMORY_S = 3.0
+PATH_MEMORY_S = 8.0
 """A server to which this VM could not connect is avoided for this long."""
 DEFAULT_RETRY_AFTER_S = 0.5
 END_S = 0.1
--- a/dotterelfront/slot_client.py
+++ b/dotterelfront/slot_client.py
@@ -25,6 +25,8 @@
 the next owner is asked sooner."""
 ASK_AGAIN_S = 0.5
 """A waiting request asks its owner this often whether it still waits there."""
+POLL_S = 0.2
+"""A waiting request looks this often for a free slot in other zones."""
 OWNERS_TRIED = 2
 """Owners of a zone that are asked; after that this VM grants for itself."""
 NO_SERVER_RETRY_S = 0.5
@@ -98,21 +100,43 @@
         zones = self._ordered_zones(need.pool)
         if not zones:
             raise errors.OverloadedError("the pool has no server", NO_SERVER_RETRY_S)
+        found = await self._first_free(need, zones)
+        if isinstance(found, Lease):
+            return found
+        if not (need.repeat and found is not None and found.reason is not NO_ROOM):
+            found = await self._wait(need, zones) or found
+        if isinstance(found, Lease):
+            return found
+        raise errors.OverloadedError(
+            "no slot in time", found.retry_after_s if found else NO_SERVER_RETRY_S
+        )
+
+    async def _first_free(
+        self, need: Need, zones: Sequence[models.ZoneName]
+    ) -> "Lease | fleet_messages.SlotRefusal | None":
+        """Asks the zones in turn for a free slot; returns the last refusal if there is none."""
         refusal = None
         for zone in zones:
             found = await self._ask_zone(need, zone, wait=False)
             if isinstance(found, Lease):
                 return found
             refusal = found or refusal
-            if refusal is not None and need.repeat and refusal.reason is not NO_ROOM:
-                break
-        else:
-            found = await self._ask_zone(need, zones[0], wait=True)
-            if isinstance(found, Lease):
-                return found
-            refusal = found or refusal
-        retry_after_s = refusal.retry_after_s if refusal else NO_SERVER_RETRY_S
-        raise errors.OverloadedError("no slot in time", retry_after_s)
+        return refusal
+
+    async def _wait(
+        self, need: Need, zones: Sequence[models.ZoneName]
+    ) -> "Lease | fleet_messages.SlotRefusal | None":
+        """Waits in the queue of the first zone, and looks for a free slot in the others."""
+        waiting = asyncio.ensure_future(self._ask_zone(need, zones[0], wait=True))
+        found = None
+        try:
+            while not waiting.done() and not isinstance(found, Lease):
+                await asyncio.wait([waiting], timeout=POLL_S)
+                if not waiting.done():
+                    found = await self._first_free(need, zones[1:])
+            return found if isinstance(found, Lease) else waiting.result()
+        finally:
+            _drop(waiting, unless=found)
 
     def _ordered_zones(self, pool: models.PoolName) -> list[models.ZoneName]:
         zones = list(self._topology.zones(pool))
@@ -193,3 +217,13 @@
 
     def _release(self, owner: models.Vm, call_id: int, result: health.AttemptResult) -> None:
         self._send(owner, fleet_messages.SlotRelease(self._vm.id, call_id, result))
+
+
+def _drop(waiting: asyncio.Future, unless: object) -> None:
+    """Gives back the slot of a request that got another one, or that nobody waits for."""
+    if not waiting.done():
+        waiting.cancel()
+    elif isinstance(unless, Lease) and not waiting.cancelled() and not waiting.exception():
+        lease = waiting.result()
+        if isinstance(lease, Lease):
+            lease.release(health.AttemptResult.CANCELLED)
--- a/dotterelfront/slot_owner.py
+++ b/dotterelfront/slot_owner.py
@@ -68,6 +68,9 @@
     heard: float
     idempotent: bool
     repeat: bool
+    route: models.RouteName
+    granted: float = 0.0
+    late: bool = False
     attempt_id: int | None = None
     server: models.ServerId | None = None
 
@@ -146,6 +149,7 @@
             heard=now,
             idempotent=message.idempotent,
             repeat=message.repeat,
+            route=message.route,
         )
         self._next_ticket += 1
         self._calls[key] = self._by_ticket[call.ticket_id] = call
@@ -178,6 +182,7 @@
             if not shard.queue.empty():
                 self._carry_out(key, shard.queue.tick(now), now)
         for call in list(self._calls.values()):
+            self._note_lateness(call, now)
             forsaken = call.attempt_id is None and now - call.heard > ASK_AGAIN_S
             if forsaken or now > call.ends + GRANT_SLACK_S:
                 self._end(call, health.AttemptResult.CANCELLED, now)
@@ -207,6 +212,15 @@
             if len(recent) >= CONNECT_WITNESSES:
                 self._suspicion.failed(server, now)
 
+    def _note_lateness(self, call: _Call, now: float) -> None:
+        """Suspects a server that holds a request far beyond its usual time."""
+        if call.server is None or call.late:
+            return
+        usual_s = self._shards[call.shard].queue.usual_s(call.route)
+        if usual_s is not None and now - call.granted > gray_server.LATE_FACTOR * usual_s:
+            call.late = True
+            self._suspicion.late(call.server, now)
+
     def _end(self, call: _Call, result: health.AttemptResult, now: float) -> None:
         self._forget(call)
         shard = self._shards[call.shard].queue
@@ -223,6 +237,7 @@
                 continue
             if isinstance(effect, pools.Grant):
                 call.attempt_id, call.server = effect.attempt_id, effect.server
+                call.granted = now
                 self._charge(call)
                 self._reply(call.reply_to, fleet_messages.SlotGrant(call.key[1], effect.server))
             else:
@@ -265,6 +280,7 @@
                 retries.RetryBudget(self._limits.retry_ratio, self._limits.retry_burst),
             )
         divisor = 1 if self._is_first(key) else SECOND_OWNER_DIVISOR
+        shard.queue.shedding.exact = divisor == 1
         if divisor != shard.divisor:
             shard.divisor = divisor
             self._carry_out(key, shard.queue.set_slot_divisor(divisor, now), now)
--- a/dotterelfront/upstream.py
+++ b/dotterelfront/upstream.py
@@ -18,7 +18,7 @@
 from dotterelfront import exchange, fleetmodel, models
 from dotterelfront.platform import wire
 
-CONNECT_TIMEOUT_S = 0.3
+CONNECT_TIMEOUT_S = 0.15
 """A connection takes 1 ms; one that takes longer meets a partition or a full server."""
 IDLE_S = 8.0
 """Kept connections are used for this long; servers close idle ones after 10 s."""
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -7,7 +7,7 @@
 from hypothesis import settings, stateful
 from hypothesis import strategies as st
 
-from dotterelfront import health, models, pools, queueing
+from dotterelfront import health, load_shedding, models, pools, queueing
 
 RESULT = health.AttemptResult
 ADDRESSES = [models.ServerId(f"10.0.0.{i}:80") for i in range(3)]
@@ -179,7 +179,7 @@
         if not self.waiting:
             return
         assert any(self.serving(address) for address in ADDRESSES)
-        recovery_s = 1 / pools.SHED_RECOVERY_PER_S
+        recovery_s = 1 / load_shedding.SHED_RECOVERY_PER_S
         for address in ADDRESSES:
             sheds = self.now - self.refused_at.get(address, -100.0) <= recovery_s
             if self.serving(address) and not sheds and address not in self.shard.health.ejected:
--- a/tests/test_slot_client.py
+++ b/tests/test_slot_client.py
@@ -17,9 +17,10 @@
 class Fleet:
     """Owners of two zones; ``script`` maps an owner to its replies, none for silence."""
 
-    def __init__(self, monkeypatch, script, zones=("b", "a")):
+    def __init__(self, monkeypatch, script, zones=("b", "a"), poll_s=9.0):
         monkeypatch.setattr(slot_client, "REPLY_TIMEOUT_S", 0.0)
         monkeypatch.setattr(slot_client, "ASK_AGAIN_S", 0.0)
+        monkeypatch.setattr(slot_client, "POLL_S", poll_s)
         self.script = {name: list(replies) for name, replies in script.items()}
         self.sent, self.unreachable = [], []
         topology = slot_client.Topology(
@@ -90,6 +91,14 @@
     assert fleet.asked[:3] == [("a1", False), ("b1", False), ("a1", True)]
 
 
+def test_a_waiting_request_takes_a_slot_that_another_zone_has_by_then(monkeypatch):
+    """Guards against requests that wait in one zone while others have room again."""
+    script = {"a1": [NO_ROOM] + ["waiting"] * 50, "b1": [NO_ROOM, "i-2"]}
+    fleet = Fleet(monkeypatch, script, poll_s=0.0)
+    assert fleet.acquire().server == "i-2"
+    assert ("a1", health.AttemptResult.CANCELLED) in fleet.released
+
+
 def test_a_silent_owner_is_passed_over(monkeypatch):
     """Guards against requests that wait for a VM that has ended."""
     fleet = Fleet(monkeypatch, {"a2": ["i-1"]})
--- a/tests/test_slot_owner.py
+++ b/tests/test_slot_owner.py
@@ -85,6 +85,21 @@
     assert granted(owner.ask(2, wait=False))
 
 
+def test_a_server_that_hangs_is_suspected_before_any_deadline():
+    """Guards against all slots of a hanging server, for as long as requests may last."""
+    owner = Owner(names=["i-1", "i-2"])
+    for number in range(30):
+        owner.ask(number, now=100.0 + number)
+        owner.end(number, now=100.1 + number)
+    held = [owner.ask(number, now=150.0).server for number in (50, 51, 52, 53)]
+    for number, server in zip((50, 51, 52, 53), held, strict=True):
+        if server == "i-2":
+            owner.end(number, now=150.1)
+    owner.core.tick(151.0)
+    owner.core.tick(151.05)
+    assert {owner.ask(number, now=151.05).server for number in (60, 61)} == {"i-2"}
+
+
 def test_a_request_that_may_not_wait_gets_no_suspected_server():
     """Guards against a suspected server near by while a good one in another zone is free."""
     owner = Owner(names=["i-1"])
