--- a/dotterelfront/node.py
+++ b/dotterelfront/node.py
@@ -33,6 +33,7 @@
 
 TICK_S = 0.05
 SWEEP_S = 0.5
+SEED_ASK_S = 0.5
 PING_S = 1.0
 PING_PEERS = 2
 """VMs of other zones that a watcher tells of its revision each second."""
@@ -101,6 +102,7 @@
         for job in (
             self._mesh.run,
             self._follower.run,
+            self._ask_seeds,
             self._tick,
             self._sweep,
             self._beat,
@@ -161,6 +163,13 @@
 
     # Periodic work
 
+    async def _ask_seeds(self) -> None:
+        """Pulls all records from other VMs while a VM that starts cannot list them."""
+        while not self._follower.listed:
+            await asyncio.sleep(SEED_ASK_S)
+            for address in self._cfg.seed_peers():
+                self._send(address, fleet_messages.Pull(self._cfg.vm.address, 0))
+
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(TICK_S)
--- a/dotterelfront/platform/boot.py
+++ b/dotterelfront/platform/boot.py
@@ -60,6 +60,11 @@
     def bounds(self) -> Bounds:
         return bounds(self.limits)
 
+    def seed_peers(self) -> list[str]:
+        """Returns the seeds' addresses for messages between VMs, without this VM."""
+        hosts = [seed.rpartition(":")[0] for seed in self.seeds]
+        return [f"{host}:{self.peer_port}" for host in hosts if host and host != self.address]
+
     @property
     def vm(self) -> models.Vm:
         peer_address = f"{self.address}:{self.peer_port}"
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -127,6 +127,16 @@
         boot.load(str(path))
 
 
+def test_seeds_are_reached_at_the_port_between_vms(tmp_path):
+    """Guards against a VM that asks itself, or the wrong port, while the store is away."""
+    path = tmp_path / "settings.json"
+    fields = dict.fromkeys(("vm_id", "zone", "region", "http_address", "ready_address"), "x")
+    seeds = ["10.0.0.1:99", "10.0.0.2:99"]
+    more = {"address": "10.0.0.1", "peer_port": 7, "store_address": "s:1", "seeds": seeds}
+    path.write_text(json.dumps(fields | more))
+    assert boot.load(str(path)).seed_peers() == ["10.0.0.2:7"]
+
+
 def test_limits_are_read_and_unknown_ones_ignored():
     found = boot.bounds({"drain": "2500ms", "retry-ratio": "0.2", "retry-slack": 58, "new": True})
     assert (found.drain_s, found.retry_ratio, found.retry_slack) == (2.5, 0.2, 58.0)
