Refill the budget of repeated sends by time; fewer trials of gray servers

Change: the budget refills by time and starts empty, its sum over any window is bounded by a property test; trials every 2 s and never by a repeated request, which waits longer for a good server.

--- a/dotterelfront/gray_server.py
+++ b/dotterelfront/gray_server.py
@@ -39,10 +39,13 @@
 LATE_FACTOR = 4.0
 """A request is late after this many times its route's mean."""
 HOLD_SHARE = 0.25
-"""A request waits for a server that is not suspected for this part of its time. Gray servers often
-fail at once, so that they look idle when the good ones are full."""
-TRIAL_S = 0.5
-"""A suspected server gets a request that may be repeated this often."""
+HOLD_SHARE_REPEATED = 0.5
+"""A request waits for a server that is not suspected for this part of its time; longer when it has
+failed once and may have no further try. Gray servers often fail at once, so that they look idle
+when the good ones are full."""
+TRIAL_S = 2.0
+"""A suspected server gets a first try of a request that may be repeated this often. More tries use
+up the budget of repeated sends: two gray servers of six took half of it at 0.5 s."""
 
 
 class _Level(msgspec.Struct):
--- a/dotterelfront/node.py
+++ b/dotterelfront/node.py
@@ -47,10 +47,10 @@
 EXIT_MARGIN_S = 0.4
 """Time between the last answer and the platform's SIGKILL."""
 BACKLOG = 512
-RETRY_SHARE = 0.7
-"""Part of the users' bound on repeated sends that the owners of all zones give out together. VMs
-that take over an owner's shard start with a new burst."""
-RETRY_BURST_SHARE = 0.5
+RETRY_RATIO_SHARE = 0.85
+RETRY_SLACK_SHARE = 0.8
+"""Parts of the users' bounds on repeated sends that the owners of all zones give out together. The
+rest covers owners that change: the new one does not know what the old one gave out."""
 
 
 class Node:
@@ -118,9 +118,11 @@
     # Start and end
 
     def _limits(self) -> slot_owner.Limits:
-        bounds = self._cfg.bounds
+        bounds, zones = self._cfg.bounds, max(1, len(self._cfg.zones))
         return slot_owner.Limits(
-            bounds.retry_ratio * RETRY_SHARE, bounds.retry_slack * RETRY_BURST_SHARE / ZONES
+            bounds.retry_ratio * RETRY_RATIO_SHARE,
+            bounds.retry_slack * RETRY_SLACK_SHARE / 2 / zones,
+            bounds.retry_window_s,
         )
 
     async def _listen(self, target: gateway.Gateway, address: str) -> asyncio.Server:
@@ -365,9 +367,6 @@
         return relay.Answer(200 if ready else 503, [])
 
 
-ZONES = 3
-"""Owners of one pool that may spend its burst of repeated sends."""
-
 _HANDLERS = {
     fleet_messages.SlotRequest: Node._on_slot_request,
     fleet_messages.SlotRelease: Node._on_slot_release,
--- a/dotterelfront/platform/boot.py
+++ b/dotterelfront/platform/boot.py
@@ -50,6 +50,8 @@
     ready_address: str
     peer_port: int
     store_address: str
+    zones: dict[str, str] = {}
+    """Regions by availability zone."""
     seeds: list[str] = []
     """Addresses of VMs that may hold a copy of the configuration while the store is away."""
     memory_mb: float = 300.0
--- a/dotterelfront/pools.py
+++ b/dotterelfront/pools.py
@@ -465,9 +465,11 @@
         """Whether a ticket rather waits for a server that is not suspected."""
         if not self._suspicion.suspect(server, now) or self._all_suspect(now):
             return False
-        if ticket.idempotent and self._suspicion.trial_due(server, now):
+        first = not ticket.avoid
+        if first and ticket.idempotent and self._suspicion.trial_due(server, now):
             return False
-        return now < ticket.enqueued + gray_server.HOLD_SHARE * (ticket.deadline - ticket.enqueued)
+        share = gray_server.HOLD_SHARE if first else gray_server.HOLD_SHARE_REPEATED
+        return now < ticket.enqueued + share * (ticket.deadline - ticket.enqueued)
 
     def _all_suspect(self, now: float) -> bool:
         return all(self._suspicion.suspect(address, now) for address in self._active)
--- a/dotterelfront/retries.py
+++ b/dotterelfront/retries.py
@@ -14,12 +14,30 @@
 
 
 class RetryBudget:
-    """Each request adds ``ratio`` of a retry, up to ``burst``; starts full."""
-
-    def __init__(self, ratio: float = RATIO, burst: float = BURST):
+    """Each request adds ``ratio`` of a retry, up to ``burst``; starts full.
+
+    With ``refill_per_s`` time adds retries as well, and the budget starts empty at ``now``, so that
+    a process that starts again gets no second burst.
+    """
+
+    def __init__(
+        self,
+        ratio: float = RATIO,
+        burst: float = BURST,
+        refill_per_s: float = 0.0,
+        now: float = 0.0,
+    ):
         self._ratio = ratio
         self._burst = burst
-        self._available = burst
+        self._refill_per_s = refill_per_s
+        self._refilled = now
+        self._available = 0.0 if refill_per_s else burst
+
+    def advance(self, now: float) -> None:
+        """Adds what the time since the last call brings."""
+        gained = self._refill_per_s * (now - self._refilled)
+        self._available = min(self._burst, self._available + gained)
+        self._refilled = now
 
     def on_request(self) -> None:
         self._available = min(self._burst, self._available + self._ratio)
--- a/dotterelfront/slot_owner.py
+++ b/dotterelfront/slot_owner.py
@@ -51,10 +51,15 @@
 
 
 class Limits(msgspec.Struct, frozen=True):
-    """Budget of repeated sends of one shard: a share of its requests, and a burst."""
+    """Budget of repeated sends of one shard: a share of its requests, and a burst per window.
+
+    Within any window a shard gives out at most the share and twice the burst: what it had saved and
+    what time adds.
+    """
 
     retry_ratio: float
     retry_burst: float
+    window_s: float = 10.0
 
 
 class _Call(msgspec.Struct):
@@ -265,6 +270,11 @@
         bounded = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
         return fleet_messages.SlotRefusal(call_id, reason, bounded)
 
+    def _new_budget(self, now: float) -> retries.RetryBudget:
+        limits = self._limits
+        refill_per_s = limits.retry_burst / limits.window_s
+        return retries.RetryBudget(limits.retry_ratio, limits.retry_burst, refill_per_s, now)
+
     def _shard(self, key: ShardKey, now: float) -> _Shard:
         shard = self._shards.get(key)
         if shard is None:
@@ -277,8 +287,9 @@
                     rng=random.Random(self._rng.random()),
                     suspicion=self._suspicion,
                 ),
-                retries.RetryBudget(self._limits.retry_ratio, self._limits.retry_burst),
+                self._new_budget(now),
             )
+        shard.budget.advance(now)
         divisor = 1 if self._is_first(key) else SECOND_OWNER_DIVISOR
         shard.queue.shedding.exact = divisor == 1
         if divisor != shard.divisor:
--- a/tests/test_gray_server.py
+++ b/tests/test_gray_server.py
@@ -54,9 +54,10 @@
     return pools.PoolShard(pool, SERVERS, 0.0, rng=random.Random(1), suspicion=suspicion)
 
 
-def make_ticket(number, idempotent=False):
+def make_ticket(number, idempotent=False, enqueued=0.0):
+    priority, deadline = models.Priority.NORMAL, enqueued + 8.0
     return queueing.Ticket(
-        number, "r", models.NO_CUSTOMER, models.Priority.NORMAL, idempotent, 8.0, 0.0
+        number, "r", models.NO_CUSTOMER, priority, idempotent, deadline, enqueued
     )
 
 
@@ -85,7 +86,8 @@
     """Guards against orders that are spent on finding out whether a server has recovered."""
     shard = make_shard([SERVER])
     shard.submit(make_ticket(1), 0.0)
-    effects = shard.submit(make_ticket(2, idempotent), gray_server.TRIAL_S)
+    now = gray_server.TRIAL_S
+    effects = shard.submit(make_ticket(2, idempotent, now), now)
     assert granted(effects) == expected
 
 
--- a/tests/test_slot_owner.py
+++ b/tests/test_slot_owner.py
@@ -2,7 +2,7 @@
 
 import random
 
-from hypothesis import settings, stateful
+from hypothesis import given, settings, stateful
 from hypothesis import strategies as st
 
 from dotterelfront import fleet_messages, fleetmodel, health, models, pools, slot_owner
@@ -124,20 +124,43 @@
     assert refused(owner.ask(11, wait=False))
 
 
-def test_repeats_are_bounded_by_requests_and_burst():
-    """Guards against repeated sends that multiply the load on a failing service."""
-    owner = Owner(burst=2.0, ratio=0.5)
+def count_repeats(owner, numbers, now):
     grants = 0
-    for number in range(20):
-        if granted(owner.ask(number, repeat=True)):
+    for number in numbers:
+        if granted(owner.ask(number, now, repeat=True)):
             grants += 1
-            owner.end(number)
-    assert grants == 2
-    for number in range(100, 104):
+            owner.end(number, now=now)
+    return grants
+
+
+def test_repeats_are_bounded_by_requests_and_time():
+    """Guards against repeated sends that multiply the load on a failing service."""
+    owner = Owner(burst=2.0, ratio=0.5)
+    for number in range(4):
         owner.ask(number)
         owner.end(number)
-    repeated = [granted(owner.ask(number, repeat=True)) for number in range(200, 204)]
-    assert repeated.count(True) == 2
+    assert count_repeats(owner, range(100, 120), 100.0) == 2
+    assert count_repeats(owner, range(200, 220), 110.0) == 2
+
+
+def test_a_new_owner_gives_out_no_burst():
+    """Guards against a budget that each change of the owner fills again."""
+    assert count_repeats(Owner(burst=5.0), range(20), 100.0) == 0
+
+
+@given(st.lists(st.tuples(st.floats(0.0, 2.0), st.booleans()), max_size=150))
+def test_repeats_stay_within_the_bound_of_any_window(steps):
+    """Guards against a service that gets more repeated sends in a window than the users allow."""
+    owner, now, requests, repeats = Owner(burst=3.0, ratio=0.2), 100.0, [], []
+    for number, (pause_s, repeat) in enumerate(steps):
+        now += pause_s
+        if granted(owner.ask(number, now, repeat=repeat)):
+            (repeats if repeat else requests).append(now)
+            owner.end(number, now=now)
+    for start in repeats:
+        within = sum(start <= at <= start + 10.0 for at in repeats)
+        known = sum(start - 10.0 <= at <= start + 10.0 for at in requests)
+        assert within <= 2 * 3.0 + 0.2 * known
 
 
 def test_a_second_message_of_a_request_takes_no_second_slot():
