--- a/dotterelfront/follow.py
+++ b/dotterelfront/follow.py
@@ -92,6 +92,7 @@
         self.copy = replica.Replica()
         self.listed = False
         """Whether the copy was complete at some time."""
+        self._watching = False
         self._client = client
         self._state = state
         self._role = role
@@ -107,6 +108,7 @@
                 delay_s = BACKOFF_MIN_S
             except errors.HistoryLostError:
                 self.listed = False
+                logs.event("history lost", revision=self.copy.revision)
             except errors.StoreError as exc:
                 self._state.failed(_now())
                 logs.event("store call failed", level="DEBUG", error=str(exc))
@@ -128,10 +130,17 @@
             self.listed = True
             self._report(self.copy.replace(listing, _now()))
         elif self._wanted():
+            self._note_watching(True)
             await self._watch()
         else:
+            self._note_watching(False)
             await asyncio.sleep(IDLE_S)
 
+    def _note_watching(self, watching: bool) -> None:
+        if watching != self._watching:
+            self._watching = watching
+            logs.event("watching" if watching else "watch ended", revision=self.copy.revision)
+
     def _wanted(self) -> bool:
         return self._role.should_watch(_now()) and self._state.well_since is not None
 
