Bound the wait of a watch and the age of kept connections to the store

Ruled out: the role (two VMs watched all the time). Change: a watch waits 1.2 s, kept connections to the store are used for 1.5 s, TCP gives up after 2.5 s; a watcher pushes what a listing after lost history shows (test failed first).

--- a/dotterelfront/exchange.py
+++ b/dotterelfront/exchange.py
@@ -21,7 +21,7 @@
 
 from dotterelfront import errors
 
-USER_TIMEOUT_MS = 4_000
+USER_TIMEOUT_MS = 2_500
 """Unacknowledged bytes for this long end a connection: a partition answers nothing."""
 KEEP_ALIVE_S = 1
 KEEP_ALIVE_PROBES = 2
--- a/dotterelfront/follow.py
+++ b/dotterelfront/follow.py
@@ -16,8 +16,9 @@
 
 EVERYTHING = ""
 """Prefix of all keys: one watch covers configuration, servers and VMs."""
-WATCH_S = 20.0
-"""Wait of one watch; the store allows 30 s."""
+WATCH_S = 1.2
+"""Wait of one watch. The store may forget a watch that waits, without a sign on its connection; a
+change must be in force everywhere 2 s after the store took it."""
 BATCH_S = 0.15
 """Changes are collected for this long between two watches, as each call counts."""
 IDLE_S = 0.1
@@ -125,10 +126,7 @@
 
     async def _step(self) -> None:
         if not self.listed:
-            listing = await self._client.list_all(EVERYTHING)
-            self._state.succeeded(_now())
-            self.listed = True
-            self._report(self.copy.replace(listing, _now()))
+            await self._list()
         elif self._wanted():
             self._note_watching(True)
             await self._watch()
@@ -141,6 +139,16 @@
             self._watching = watching
             logs.event("watching" if watching else "watch ended", revision=self.copy.revision)
 
+    async def _list(self) -> None:
+        """Lists all records; a watcher that had lost the history passes on what it missed."""
+        after = self.copy.revision
+        listing = await self._client.list_all(EVERYTHING)
+        self._state.succeeded(_now())
+        self.listed = True
+        self._report(self.copy.replace(listing, _now()))
+        if self._watching and (missed := self.copy.since(after)) is not None:
+            self._callbacks.watched(after, missed)
+
     def _wanted(self) -> bool:
         return self._role.should_watch(_now()) and self._state.well_since is not None
 
--- a/dotterelfront/platform/store.py
+++ b/dotterelfront/platform/store.py
@@ -12,6 +12,7 @@
 a watch must begin anew.
 """
 
+import asyncio
 import base64
 import urllib.parse
 from typing import Any
@@ -23,8 +24,10 @@
 
 CALL_TIMEOUT_S = 2.0
 """A call takes 4 ms; 60 times as long on a slow store."""
-WATCH_SLACK_S = 1.5
+WATCH_SLACK_S = 0.8
 """Time that the answer to a watch may take beyond the wait that was asked for."""
+IDLE_S = 1.5
+"""Kept connections are used for this long: one that went silent costs a call its whole timeout."""
 MAX_PAGES = 1_000
 
 
@@ -134,10 +137,12 @@
         return res
 
     def _take_idle(self) -> exchange.Connection | None:
+        now = asyncio.get_running_loop().time()
         while self._idle:
             conn = self._idle.pop()
-            if conn.reusable:
+            if conn.reusable and now - conn.idle_since < IDLE_S:
                 return conn
+            conn.close()
         return None
 
 
--- /dev/null
+++ b/tests/test_follow.py
@@ -0,0 +1,122 @@
+"""Following the store: lost history, trouble, changes from other VMs."""
+
+import asyncio
+
+from dotterelfront import errors, fleetmodel, follow, watch_role
+
+
+def changes(revision, *keys):
+    records = tuple(fleetmodel.Record(key, revision, b"x") for key in keys)
+    return fleetmodel.Changes(records, revision)
+
+
+class Client:
+    """Plays the steps: results of calls in order, exceptions included, then waits for ever."""
+
+    def __init__(self, *steps):
+        self.steps, self.calls = list(steps), []
+
+    async def list_all(self, prefix):
+        return await self._next("list")
+
+    async def watch(self, prefix, after, wait_s):
+        return await self._next(f"watch {after}")
+
+    async def _next(self, call):
+        self.calls.append(call)
+        if not self.steps:
+            await asyncio.Event().wait()
+        step = self.steps.pop(0)
+        if isinstance(step, Exception):
+            raise step
+        return step
+
+
+class Following:
+    """A follower with its client and what it reported; times are those of the event loop."""
+
+    def __init__(self, *steps, watches=True, monkeypatch=None):
+        monkeypatch.setattr(follow, "BATCH_S", 0.0)
+        monkeypatch.setattr(follow, "BACKOFF_MIN_S", 0.0)
+        monkeypatch.setattr(follow, "BACKOFF_MAX_S", 0.0)
+        now = asyncio.get_running_loop().time()
+        self.client = Client(*steps)
+        self.state = follow.StoreState(now)
+        self.role = watch_role.WatchRole("vm-1", now - 100.0 if watches else now + 100.0)
+        self.changed, self.watched = [], []
+        callbacks = follow.Callbacks(self.changed.append, lambda *args: self.watched.append(args))
+        self.follower = follow.Follower(self.client, self.state, self.role, callbacks)
+
+    async def run(self):
+        task = asyncio.ensure_future(self.follower.run())
+        for _ in range(60):
+            await asyncio.sleep(0)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        return self
+
+
+def run(monkeypatch, *steps, **options):
+    async def play():
+        return await Following(*steps, monkeypatch=monkeypatch, **options).run()
+
+    return asyncio.run(play())
+
+
+def test_records_are_listed_once_and_then_watched(monkeypatch):
+    found = run(monkeypatch, changes(5, "a"), changes(6, "b"))
+    assert found.client.calls == ["list", "watch 5", "watch 6"]
+    assert found.changed == [{"a"}, {"b"}]
+    assert found.watched == [(5, changes(6, "b"))]
+
+
+def test_lost_history_is_made_good_by_a_listing(monkeypatch):
+    """Guards against a VM that watches from a revision that the store has forgotten."""
+    found = run(monkeypatch, changes(5, "a"), errors.HistoryLostError(), changes(9, "c"))
+    assert found.client.calls == ["list", "watch 5", "list", "watch 9"]
+    assert [record.key for record in found.follower.copy.items("")] == ["c"]
+
+
+def test_what_a_listing_shows_after_lost_history_is_pushed(monkeypatch):
+    """Guards against VMs that never hear of a change that the watcher found by listing."""
+    found = run(monkeypatch, changes(5, "a"), errors.HistoryLostError(), changes(9, "c"))
+    assert [after for after, _ in found.watched] == [5]
+    assert {record.key for record in found.watched[0][1].records} == {"a", "c"}
+
+
+def test_a_vm_that_does_not_watch_takes_changes_from_others(monkeypatch):
+    async def play():
+        found = Following(changes(5, "a"), watches=False, monkeypatch=monkeypatch)
+        await found.run()
+        assert found.follower.take(5, changes(7, "b"))
+        assert not found.follower.take(9, changes(10, "c"))
+        return found
+
+    found = asyncio.run(play())
+    assert found.client.calls == ["list"]
+    assert found.follower.copy.revision == 7
+
+
+def test_a_failed_watch_is_tried_again(monkeypatch):
+    """Guards against a follower that ends with its first failed call."""
+    found = run(monkeypatch, changes(5, "a"), errors.StoreUnavailableError("cut"), changes(6, "b"))
+    assert found.client.calls == ["list", "watch 5", "watch 5", "watch 6"]
+
+
+def test_one_failed_call_is_no_trouble_but_failures_for_a_while_are():
+    """Guards against a cut watch that makes records of living servers suspect."""
+    state = follow.StoreState(0.0)
+    state.failed(10.0)
+    assert state.well_since == 0.0
+    assert not state.trusted(10.0, 2.0)
+    state.failed(10.01 + follow.TROUBLE_S)
+    assert state.well_since is None
+    state.succeeded(20.0)
+    assert (state.trusted(21.9, 2.0), state.trusted(22.0, 2.0)) == (False, True)
+
+
+def test_a_vm_that_does_not_watch_believes_the_watchers():
+    state = follow.StoreState(0.0)
+    state.failed(5.0, since=1.0)
+    state.reported(well_s=60.0, now=6.0)
+    assert state.trusted(6.0, 2.0)
