--- a/dotterelfront/cli.py
+++ b/dotterelfront/cli.py
@@ -11,6 +11,7 @@
     __version__,
     errors,
     logs,
+    node_cli,
     operator_cli,
     proxy,
     report_cli,
@@ -21,6 +22,8 @@
 app.add_typer(operator_cli.app)
 app.add_typer(report_cli.report, name="report")
 app.add_typer(report_cli.config, name="config")
+app.add_typer(node_cli.node_app, name="node")
+app.command(name="explain")(node_cli.explain_request)
 
 
 def _print_version(wanted: bool) -> None:
--- a/dotterelfront/gateway.py
+++ b/dotterelfront/gateway.py
@@ -233,10 +233,26 @@
     try:
         return await handle(call)
     except errors.RequestError as exc:
-        return refusal(exc)
+        failure = exc
     except Exception as exc:
-        logs.event("request failed", level="ERROR", error=repr(exc))
-        return refusal(errors.OutcomeUnknownError("internal failure"))
+        logs.event("handler failed", level="ERROR", error=repr(exc))
+        failure = errors.OutcomeUnknownError("internal failure")
+    if call is not None:
+        _log_failure(call, failure)
+    return refusal(failure)
+
+
+def _log_failure(call: relay.Call, exc: errors.RequestError) -> None:
+    held_s = asyncio.get_running_loop().time() - call.arrived
+    logs.event(
+        "request ended without a server's answer",
+        request=wire.request_id(call.head.fields),
+        code=exc.code,
+        outcome=exc.outcome.value,
+        reason=str(exc),
+        held_ms=round(held_s * 1000),
+        retry_after_s=getattr(exc, "retry_after_s", None),
+    )
 
 
 def refusal(exc: errors.RequestError) -> relay.Answer:
--- a/dotterelfront/node.py
+++ b/dotterelfront/node.py
@@ -56,8 +56,9 @@
 class Node:
     """One VM: its sockets, its tasks and their shared state, all on one event loop."""
 
-    def __init__(self, cfg: boot.Settings):
+    def __init__(self, cfg: boot.Settings, settings_path: str):
         self._cfg = cfg
+        self._settings_path = settings_path
         self._loop = asyncio.get_running_loop()
         self._rng = random.Random(cfg.vm_id)
         self._incarnation = models.Incarnation(int(time.time() * 1000))
@@ -158,7 +159,7 @@
     def _reload(self) -> None:
         """Checks the changed settings file; addresses and identity hold until a restart."""
         try:
-            boot.load(os.environ[boot.SETTINGS_VARIABLE])
+            boot.load(self._settings_path)
             logs.event("settings read again")
         except errors.ConfigurationError as exc:
             logs.event("settings rejected", level="WARNING", error=str(exc))
@@ -379,20 +380,25 @@
 }
 
 
-async def _run(cfg: boot.Settings) -> None:
-    await Node(cfg).run()
+async def _run(cfg: boot.Settings, path: str) -> None:
+    await Node(cfg, path).run()
+
+
+def run(path: str) -> None:
+    """Runs the VM of a settings file; raises ``errors.ConfigurationError``."""
+    cfg = boot.load(path)
+    logs.configure(logs.LogFormat.JSON, cfg.vm_id)
+    asyncio.run(_run(cfg, path))
 
 
 def main() -> None:
-    """Runs the VM named by the settings file; exits with status 1 when the file is faulty."""
+    """Runs the VM that the platform starts; exits with status 1 when its settings are faulty."""
     logs.configure(logs.LogFormat.JSON)
     try:
-        cfg = boot.load(os.environ.get(boot.SETTINGS_VARIABLE, ""))
+        run(os.environ.get(boot.SETTINGS_VARIABLE, ""))
     except errors.ConfigurationError as exc:
         logs.event("settings rejected", level="ERROR", error=str(exc))
         sys.exit(1)
-    logs.configure(logs.LogFormat.JSON, cfg.vm_id)
-    asyncio.run(_run(cfg))
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/dotterelfront/node_cli.py
@@ -0,0 +1,51 @@
+"""Commands for VMs on the users' platform: ``node run``, ``node check`` and ``explain``."""
+
+import pathlib
+import sys
+from typing import Annotated
+
+import typer
+
+from dotterelfront import errors, explain, node
+from dotterelfront.platform import boot
+
+node_app = typer.Typer(no_args_is_help=True, help="A VM on the users' platform.")
+
+SettingsPath = Annotated[pathlib.Path, typer.Argument(help="Settings file, as rendered.")]
+
+
+@node_app.command(epilog="Example: dotterelfront node run local.json")
+def run(path: SettingsPath) -> None:
+    """Runs the VM until SIGTERM."""
+    node.run(str(path))
+
+
+@node_app.command(epilog="Example: dotterelfront node check local.json")
+def check(path: SettingsPath) -> None:
+    """Checks a settings file and lists all problems. Needs no network."""
+    cfg = boot.load(str(path))
+    typer.echo(f"valid: VM {cfg.vm_id} at {cfg.http_address}, zone {cfg.zone}")
+
+
+def explain_request(
+    request_id: Annotated[str, typer.Argument(help="Id of the request.")],
+    files: Annotated[
+        list[pathlib.Path] | None, typer.Argument(help="Log files; standard input without any.")
+    ] = None,
+) -> None:
+    """Shows from log lines what the fleet did with a request, in order."""
+    lines = (line for path in files for line in _lines(path)) if files else sys.stdin
+    found = explain.steps(lines, request_id)
+    for step in found:
+        typer.echo(step.text())
+    if not found:
+        typer.echo(f"no line about request {request_id}: answered, or not in these logs", err=True)
+        raise typer.Exit(1)
+
+
+def _lines(path: pathlib.Path):
+    try:
+        with path.open(encoding="utf-8", errors="replace") as file:
+            yield from file
+    except OSError as exc:
+        raise errors.ConfigurationError(f"{path}: {exc.strerror}") from exc
--- a/dotterelfront/platform/boot.py
+++ b/dotterelfront/platform/boot.py
@@ -7,6 +7,8 @@
     cfg.bounds.drain_s   # 2.0
 """
 
+from typing import Any
+
 import msgspec
 import pyjson5
 
@@ -85,20 +87,50 @@
             try:
                 found[_NUMBERS[name]] = float(value)
             except ValueError as exc:
-                raise errors.RecordError(f"limits: {name}: {value!r} is not a number") from exc
+                raise errors.RecordError(f"{name}: {value!r} is not a number") from exc
     return Bounds(**found)
 
 
 def load(path: str) -> Settings:
-    """Reads and checks the settings file; raises ``errors.ConfigurationError``."""
+    """Reads and checks the settings file; raises ``errors.ConfigurationError`` with all faults."""
     try:
         with open(path, encoding="utf-8") as file:
-            cfg = msgspec.convert(pyjson5.decode(file.read()), Settings)
-        _ = cfg.bounds
+            table = pyjson5.decode(file.read())
     except OSError as exc:
         raise errors.ConfigurationError(f"{path}: {exc.strerror}") from exc
     except (pyjson5.Json5Exception, UnicodeDecodeError) as exc:
         raise errors.ConfigurationError(f"{path}: not JSON with comments: {exc}") from exc
-    except (msgspec.ValidationError, errors.RecordError) as exc:
-        raise errors.ConfigurationError(f"{path}: {exc}") from exc
-    return cfg
+    if found := problems(table):
+        raise errors.ConfigurationError("\n".join(f"{path}: {problem}" for problem in found))
+    return msgspec.convert(table, Settings)
+
+
+def problems(table: object) -> list[str]:
+    """Returns all faults of the settings; names that are not known are ignored."""
+    if not isinstance(table, dict):
+        return ["not an object"]
+    faults = {}
+    for field in msgspec.structs.fields(Settings):
+        if field.name in table:
+            faults[field.name] = _fault(table[field.name], field.type)
+        elif field.required:
+            faults[field.name] = "missing"
+    if "limits" in table and not faults["limits"]:
+        faults["limits"] = _limits_fault(table["limits"])
+    return [f"{name}: {fault}" for name, fault in faults.items() if fault]
+
+
+def _fault(value: object, kind: Any) -> str:
+    try:
+        msgspec.convert(value, kind)
+    except msgspec.ValidationError as exc:
+        return str(exc)
+    return ""
+
+
+def _limits_fault(limits: dict[str, str | float | bool]) -> str:
+    try:
+        bounds(limits)
+    except errors.RecordError as exc:
+        return str(exc)
+    return ""
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -118,11 +118,22 @@
 
 
 def test_settings_name_every_fault_with_the_file(tmp_path):
+    """Guards against an operator who mends one fault at each start."""
     path = tmp_path / "settings.json"
-    path.write_text('{"vm_id": "vm-1"} // no addresses')
-    with pytest.raises(errors.ConfigurationError, match="settings.json"):
+    path.write_text('{"vm_id": "vm-1", "peer_port": "x", "limits": {"drain": "soon"}} // no more')
+    with pytest.raises(errors.ConfigurationError) as caught:
         boot.load(str(path))
-    path.write_text("{")
+    lines = str(caught.value).splitlines()
+    assert all(line.startswith(str(path)) for line in lines)
+    assert {"address: missing", "zone: missing"} <= {line.split(": ", 1)[1] for line in lines}
+    assert any("peer_port: Expected `int`" in line for line in lines)
+    assert any("limits: 'soon'" in line for line in lines)
+
+
+@pytest.mark.parametrize("text", ["{", "[]", "\xff"])
+def test_a_file_that_is_no_table_is_refused(tmp_path, text):
+    path = tmp_path / "settings.json"
+    path.write_bytes(text.encode("latin-1"))
     with pytest.raises(errors.ConfigurationError):
         boot.load(str(path))
 
