Pull records across zones only when the own zone stays behind

Change: a pull from another zone waits 0.8 s for the own zone's watchers, unless these have no store; a starting VM asks one seed a second.

--- a/dotterelfront/follow.py
+++ b/dotterelfront/follow.py
@@ -24,6 +24,8 @@
 IDLE_S = 0.1
 BACKOFF_MIN_S = 0.05
 BACKOFF_MAX_S = 0.8
+BEHIND_S = 0.8
+"""Time in which the own zone's watchers should have brought what another zone already has."""
 POLL_S = 0.2
 """A watch that waits looks this often whether it is still wanted."""
 TROUBLE_S = 0.7
@@ -94,6 +96,7 @@
         self.listed = False
         """Whether the copy was complete at some time."""
         self._watching = False
+        self._behind_since: float | None = None
         self._client = client
         self._state = state
         self._role = role
@@ -121,9 +124,26 @@
         if after > self.copy.revision:
             return False
         self.listed = True
+        self._behind_since = None
         self._report(self.copy.merge(changes, _now()))
         return True
 
+    def should_pull(self, revision: int, same_zone: bool) -> bool:
+        """Whether to pull from a VM that has changes up to ``revision``.
+
+        The own zone's watchers bring changes sooner than other zones' pings, and bytes between zones
+        cost; other zones help while the own one has no store, or when it stays behind.
+        """
+        if revision <= self.copy.revision:
+            self._behind_since = None
+            return False
+        if same_zone or self._state.well_since is None:
+            return True
+        now = _now()
+        if self._behind_since is None:
+            self._behind_since = now
+        return now - self._behind_since >= BEHIND_S
+
     async def _step(self) -> None:
         if not self.listed:
             await self._list()
--- a/dotterelfront/node.py
+++ b/dotterelfront/node.py
@@ -33,7 +33,8 @@
 
 TICK_S = 0.05
 SWEEP_S = 0.5
-SEED_ASK_S = 0.5
+SEED_ASK_S = 1.0
+"""A listing takes less than this while the store is well."""
 PING_S = 1.0
 PING_PEERS = 2
 """VMs of other zones that a watcher tells of its revision each second."""
@@ -170,7 +171,8 @@
         """Pulls all records from other VMs while a VM that starts cannot list them."""
         while not self._follower.listed:
             await asyncio.sleep(SEED_ASK_S)
-            for address in self._cfg.seed_peers():
+            if not self._follower.listed and (seeds := self._cfg.seed_peers()):
+                address = self._rng.choice(seeds)
                 self._send(address, fleet_messages.Pull(self._cfg.vm.address, 0))
 
     async def _tick(self) -> None:
@@ -324,7 +326,7 @@
             self._role.heard(message.sender, now)
             if not self._role.should_watch(now):
                 self._store_state.reported(message.well_s, now)
-        if message.revision > self._follower.copy.revision:
+        if self._follower.should_pull(message.revision, message.zone == self._cfg.zone):
             pull = fleet_messages.Pull(self._cfg.vm.address, self._follower.copy.revision)
             self._send(message.reply_to, pull)
 
--- a/tests/test_follow.py
+++ b/tests/test_follow.py
@@ -120,3 +120,19 @@
     state.failed(5.0, since=1.0)
     state.reported(well_s=60.0, now=6.0)
     assert state.trusted(6.0, 2.0)
+
+
+def test_other_zones_are_asked_only_when_the_own_one_stays_behind(monkeypatch):
+    """Guards against copies of all records that cross zones with each change."""
+
+    async def play():
+        found = await Following(changes(5, "a"), watches=False, monkeypatch=monkeypatch).run()
+        follower, clock = found.follower, iter([10.0, 10.5, 10.9, 20.0])
+        monkeypatch.setattr(follow, "_now", lambda: next(clock))
+        assert not follower.should_pull(5, same_zone=True)
+        assert follower.should_pull(6, same_zone=True)
+        assert [follower.should_pull(6, same_zone=False) for _ in range(3)] == [False, False, True]
+        found.state.well_since = None
+        assert follower.should_pull(7, same_zone=False)
+
+    asyncio.run(play())
