--- a/dotterelfront/follow.py
+++ b/dotterelfront/follow.py
@@ -131,8 +131,8 @@
     def should_pull(self, revision: int, same_zone: bool) -> bool:
         """Whether to pull from a VM that has changes up to ``revision``.
 
-        The own zone's watchers bring changes sooner than other zones' pings, and bytes between zones
-        cost; other zones help while the own one has no store, or when it stays behind.
+        The own zone's watchers bring changes sooner than other zones' pings, and bytes between
+        zones cost; other zones help while the own one has no store, or when it stays behind.
         """
         if revision <= self.copy.revision:
             self._behind_since = None
