--- a/dotterelfront/gateway.py
+++ b/dotterelfront/gateway.py
@@ -73,6 +73,12 @@
         for conn in list(self.connections):
             conn.expire(limits, now)
 
+    def end_idle(self) -> None:
+        """Closes the connections without a request, so that none comes too late to be finished."""
+        for conn in list(self.connections):
+            if not conn.busy:
+                conn.end()
+
     def busy(self) -> bool:
         """Whether any request that was read has no answer yet."""
         return any(conn.busy for conn in self.connections)
--- a/dotterelfront/node.py
+++ b/dotterelfront/node.py
@@ -152,6 +152,7 @@
         self._start(self._end_record())
         await asyncio.sleep(ACCEPT_AFTER_TERM_S)
         front.close()
+        self._gateway.end_idle()
         await self._gateway.finish(started + self._cfg.bounds.grace_s - EXIT_MARGIN_S)
         self._upstream.close()
         self._mesh.close()
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -137,6 +137,23 @@
     run(play)
 
 
+def test_a_vm_that_accepts_no_more_ends_idle_connections_only():
+    """Guards against a request on a kept connection that comes too late to be finished."""
+
+    async def play():
+        idle, busy = Caller(), Caller()
+        await busy.send(GET % 1)
+        for caller in (idle, busy):
+            caller.gateway.leave()
+            caller.gateway.end_idle()
+        assert [c.transport.ended for c in (idle, busy)] == [True, False]
+        await busy.answer("/1")
+        assert busy.transport.bodies == [b"/1"]
+        assert busy.transport.ended
+
+    run(play)
+
+
 def test_only_so_many_requests_of_a_connection_are_under_way():
     """Guards against memory that grows with what one caller sends."""
 
