Charge a repeated send when it is let in, not when it gets its slot

Ruled out: the bound of the budget itself (its property test had only repeats that wait for nothing).

--- a/dotterelfront/retries.py
+++ b/dotterelfront/retries.py
@@ -42,12 +42,13 @@
     def on_request(self) -> None:
         self._available = min(self._burst, self._available + self._ratio)
 
-    def available(self) -> bool:
-        return self._available >= 1.0
+    def give_back(self) -> None:
+        """Returns a retry that was taken and not made."""
+        self._available = min(self._burst, self._available + 1.0)
 
     def take(self) -> bool:
         """Uses one retry; false when the budget is spent."""
-        if not self.available():
+        if self._available < 1.0:
             return False
         self._available -= 1.0
         return True
--- a/dotterelfront/slot_owner.py
+++ b/dotterelfront/slot_owner.py
@@ -141,7 +141,7 @@
             return
         shard_key = (message.pool, message.zone)
         shard = self._shard(shard_key, now)
-        if message.repeat and not shard.budget.available():
+        if message.repeat and not shard.budget.take():
             reason = pools.RefuseReason.OVERLOADED
             refusal = self._refusal(message.call_id, message.route, reason, shard, now)
             self._reply(message.reply_to, refusal)
@@ -244,7 +244,8 @@
             if isinstance(effect, pools.Grant):
                 call.attempt_id, call.server = effect.attempt_id, effect.server
                 call.granted = now
-                self._charge(call)
+                if not call.repeat:
+                    self._shards[key].budget.on_request()
                 self._reply(call.reply_to, fleet_messages.SlotGrant(call.key[1], effect.server))
             else:
                 self._forget(call)
@@ -252,15 +253,10 @@
                 refusal = self._refusal(call.key[1], call.route, effect.reason, shard, now)
                 self._reply(call.reply_to, refusal)
 
-    def _charge(self, call: _Call) -> None:
-        """Counts a send; a repeated one that was let in waits at most until its deadline."""
-        budget = self._shards[call.shard].budget
-        if call.repeat:
-            budget.take()
-        else:
-            budget.on_request()
-
     def _forget(self, call: _Call) -> None:
+        """Ends a call; a repeat that got no slot was not sent and costs nothing."""
+        if call.repeat and call.server is None:
+            self._shards[call.shard].budget.give_back()
         self._calls.pop(call.key, None)
         self._by_ticket.pop(call.ticket_id, None)
 
--- a/tests/test_slot_owner.py
+++ b/tests/test_slot_owner.py
@@ -143,6 +143,18 @@
     assert count_repeats(owner, range(200, 220), 110.0) == 2
 
 
+def test_repeats_that_wait_are_counted_when_they_are_let_in():
+    """Guards against a queue of repeats that were all let in on the same saved one."""
+    owner = Owner(names=["i-1"], burst=2.0, ratio=0.0)
+    owner.ask(1, 90.0)
+    for number in range(SLOTS):
+        owner.ask(number, 100.0, left_s=60.0)
+    waiting = [owner.ask(number, 100.0, left_s=60.0, repeat=True) for number in range(10, 20)]
+    assert sum(isinstance(reply, fleet_messages.SlotWaiting) for reply in waiting) == 2
+    owner.end(10, RESULT.CANCELLED)
+    assert not refused(owner.ask(30, 100.0, left_s=60.0, repeat=True))
+
+
 def test_a_new_owner_gives_out_no_burst():
     """Guards against a budget that each change of the owner fills again."""
     assert count_repeats(Owner(burst=5.0), range(20), 100.0) == 0
