--- a/dotterelfront/fleet_view.py
+++ b/dotterelfront/fleet_view.py
@@ -35,6 +35,8 @@
     def __init__(self, vm: models.Vm, incarnation: models.Incarnation, now: float):
         self.vm = vm
         self.incarnation = incarnation
+        self._earlier = models.Incarnation(0)
+        self._recorded = False
         self.config: fleetmodel.Configuration | None = None
         self.members = membership.Membership(vm, incarnation, now)
         self.catalog = catalog.Catalog(records.server)
@@ -43,7 +45,14 @@
         self._placed_version = -1
 
     def record(self) -> tuple[str, bytes]:
-        """Returns key and value of this VM's own record."""
+        """Returns key and value of this VM's own record.
+
+        Its incarnation is above that of an earlier process of the VM, if a record of that is known,
+        also when the time of day has gone back since.
+        """
+        if self._earlier >= self.incarnation and not self._recorded:
+            self.incarnation = models.Incarnation(self._earlier + 1)
+        self._recorded = True
         found = VmRecord(
             self.vm.id, self.vm.address, self.vm.zone, self.vm.region, self.incarnation
         )
@@ -80,9 +89,11 @@
         """
         vms = {}
         for record in found:
-            vm = _vm(record)
+            vm = _decoded(record)
             if vm is not None:
-                vms[vm.id] = vm
+                vms[vm.id] = models.Vm(vm.id, vm.address, vm.zone, vm.region)
+                if vm.id == self.vm.id:
+                    self._earlier = max(self._earlier, vm.incarnation)
         if not trusted:
             vms = {vm.id: vm for vm in self.members.listed()} | vms
         self.members.on_list(vms.values(), now)
@@ -125,10 +136,9 @@
         self._everywhere.update(self.members.usable())
 
 
-def _vm(record: fleetmodel.Record) -> models.Vm | None:
+def _decoded(record: fleetmodel.Record) -> VmRecord | None:
     try:
-        found = msgspec.json.decode(record.value, type=VmRecord)
+        return msgspec.json.decode(record.value, type=VmRecord)
     except msgspec.MsgspecError as exc:
         logs.event("VM record unreadable", level="WARNING", key=record.key, error=str(exc))
         return None
-    return models.Vm(found.id, found.address, found.zone, found.region)
--- a/dotterelfront/node.py
+++ b/dotterelfront/node.py
@@ -62,9 +62,9 @@
         self._settings_path = settings_path
         self._loop = asyncio.get_running_loop()
         self._rng = random.Random(cfg.vm_id)
-        self._incarnation = models.Incarnation(int(time.time() * 1000))
+        incarnation = models.Incarnation(int(time.time() * 1000))
         now = self._loop.time()
-        self._view = fleet_view.FleetView(cfg.vm, self._incarnation, now)
+        self._view = fleet_view.FleetView(cfg.vm, incarnation, now)
         self._client = store.Client(cfg.store_address)
         self._store_state = follow.StoreState(now)
         self._role = watch_role.WatchRole(cfg.vm.id, now)
@@ -73,19 +73,17 @@
             self._store_state,
             self._role,
             follow.Callbacks(self._on_changed, self._on_watched),
-            seed=self._incarnation,
+            seed=incarnation,
         )
         self._mesh = mesh.Mesh(cfg.vm.address, self._on_message)
         self._owner = slot_owner.SlotOwner(
-            self._limits(), self._send, self._view.is_first_owner, seed=self._incarnation
+            self._limits(), self._send, self._view.is_first_owner, seed=incarnation
         )
         topology = slot_client.Topology(self._view.zones, self._view.owners, self._on_unreachable)
-        self._slots = slot_client.SlotClient(
-            cfg.vm, self._send_to_vm, topology, seed=self._incarnation
-        )
+        self._slots = slot_client.SlotClient(cfg.vm, self._send_to_vm, topology, seed=incarnation)
         self._upstream = upstream.Upstream()
         self._relay = relay.Relay(
-            self._slots, self._view.catalog.get, self._upstream, seed=self._incarnation
+            self._slots, self._view.catalog.get, self._upstream, seed=incarnation
         )
         self._gateway = gateway.Gateway(self._relay.handle, self._timeouts)
         self._ready = gateway.Gateway(self._answer_ready)
@@ -229,6 +227,8 @@
 
     async def _keep_record(self) -> None:
         """Keeps the VM's record under its lease; shows a watcher whether the store is well."""
+        while not self._follower.listed:
+            await asyncio.sleep(TICK_S)
         key, value = self._view.record()
         while True:
             started = self._loop.time()
@@ -346,7 +346,7 @@
             sender=self._cfg.vm.id,
             reply_to=self._cfg.vm.address,
             zone=self._cfg.vm.zone,
-            incarnation=self._incarnation,
+            incarnation=self._view.incarnation,
             leaving=self._leaving.is_set(),
             revision=self._follower.copy.revision,
             well_s=self._store_state.well_s(now) if self._watches() else None,
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -90,3 +90,13 @@
     )
     view.on_vms([fleetmodel.Record(key, 1, value)], trusted=True, now=0.0)
     assert ME.id in {vm.id for vm in view.owners("p", "a")}
+
+
+def test_a_restart_is_newer_also_when_the_clock_went_back():
+    """Guards against VMs that ignore a restarted one as an older incarnation for good."""
+    earlier = fleet_view.VmRecord(ME.id, ME.address, "a", "r", 5000)
+    view = make_view(fleetmodel.Record("x", 1, msgspec.json.encode(earlier)))
+    _, value = view.record()
+    assert msgspec.json.decode(value)["incarnation"] == view.incarnation == 5001
+    view.on_vms([fleetmodel.Record("x", 2, value)], trusted=True, now=1.0)
+    assert view.record()[1] == value
