--- a/dotterelfront/node.py
+++ b/dotterelfront/node.py
@@ -2,7 +2,7 @@
 
 ::
 
-    DOTTERELFRONT_BOOT=settings.json python -m dotterelfront.node
+    python -m dotterelfront.node      # the platform names the settings file in the environment
 """
 
 import asyncio
