--- a/dotterelfront/node.py
+++ b/dotterelfront/node.py
@@ -189,10 +189,18 @@
             self._set_servers(report.pools)
 
     async def _beat(self) -> None:
-        """Tells the VMs of the zone that this one watches the store for them."""
+        """Tells the VMs of the zone that this one watches the store for them.
+
+        The first beat goes out at once, so that others that would begin as well do not.
+        """
+        due = 0.0
         while True:
-            await asyncio.sleep(watch_role.BEAT_S)
-            if self._watches():
+            await asyncio.sleep(TICK_S)
+            now = self._loop.time()
+            if not self._watches():
+                due = 0.0
+            elif now >= due:
+                due = now + watch_role.BEAT_S
                 message = self._ping_message(answer=False)
                 for vm in self._zone_peers():
                     self._send(vm.address, message)
--- a/dotterelfront/watch_role.py
+++ b/dotterelfront/watch_role.py
@@ -22,7 +22,11 @@
 """Three beats; a change must be in force two seconds after the store took it, and a new watcher
 needs a few calls to catch up."""
 START_WAIT_S = 1.0
-"""A VM that starts listens for this long before it watches itself."""
+START_SPREAD_S = 1.5
+"""A VM that starts listens for the first before it watches itself, and for up to the second more
+the later it is in the order: when all VMs start together, the first two then silence the others."""
+TAKEOVER_SPREAD_S = 0.4
+"""The same when watchers have fallen silent."""
 
 
 class WatchRole:
@@ -30,20 +34,27 @@
 
     def __init__(self, vm_id: models.VmId, now: float):
         self._rank = _rank(vm_id)
-        self._started = now
+        self._place = int.from_bytes(self._rank) / 2 ** (8 * len(self._rank))
+        """Where the VM stands in the order, from 0 to 1."""
+        self._missing_since: float | None = now + START_WAIT_S
+        self._patience_s = self._place * START_SPREAD_S
         self._heard: dict[models.VmId, float] = {}
 
     def heard(self, watcher: models.VmId, now: float) -> None:
         self._heard[watcher] = now
 
     def should_watch(self, now: float) -> bool:
-        if now - self._started < START_WAIT_S:
-            return False
         for watcher, at in list(self._heard.items()):
             if now - at > SILENCE_S:
                 del self._heard[watcher]
         before = sum(1 for watcher in self._heard if _rank(watcher) < self._rank)
-        return before < WATCHERS_PER_ZONE
+        if before >= WATCHERS_PER_ZONE:
+            self._missing_since = None
+            return False
+        if self._missing_since is None:
+            self._missing_since = now
+            self._patience_s = self._place * TAKEOVER_SPREAD_S
+        return now - self._missing_since >= self._patience_s
 
 
 def _rank(vm_id: models.VmId) -> bytes:
