Run timers only while there is work for them

Cause: each VM woke 50 times a second when idle (ticks of empty shards, checks whether to beat). Change: ticks run while requests wait or hold slots; a new watcher's first beat is a callback.

--- a/dotterelfront/follow.py
+++ b/dotterelfront/follow.py
@@ -74,11 +74,12 @@
     """What a follower tells its VM.
 
     ``changed`` gets the keys that changed, ``watched`` the changes that came from the store and the
-    revision that they follow on.
+    revision that they follow on. ``began`` is called when the VM begins to watch.
     """
 
     changed: Callable[[set[str]], None]
     watched: Callable[[int, fleetmodel.Changes], None]
+    began: Callable[[], None]
 
 
 class Follower:
@@ -158,6 +159,8 @@
         if watching != self._watching:
             self._watching = watching
             logs.event("watching" if watching else "watch ended", revision=self.copy.revision)
+            if watching:
+                self._callbacks.began()
 
     async def _list(self) -> None:
         """Lists all records; a watcher that had lost the history passes on what it missed."""
--- a/dotterelfront/node.py
+++ b/dotterelfront/node.py
@@ -72,7 +72,7 @@
             self._client,
             self._store_state,
             self._role,
-            follow.Callbacks(self._on_changed, self._on_watched),
+            follow.Callbacks(self._on_changed, self._on_watched, self._tell_zone),
             seed=incarnation,
         )
         self._mesh = mesh.Mesh(cfg.vm.address, self._on_message)
@@ -88,6 +88,7 @@
         self._gateway = gateway.Gateway(self._relay.handle, self._timeouts)
         self._ready = gateway.Gateway(self._answer_ready)
         self._leaving = asyncio.Event()
+        self._owner_busy = asyncio.Event()
         self._lease: int | None = None
         self._tasks: set[asyncio.Task] = set()
 
@@ -175,10 +176,13 @@
                 self._send(address, fleet_messages.Pull(self._cfg.vm.address, 0))
 
     async def _tick(self) -> None:
+        """Lets the granted and waiting requests of this VM's shards advance, while there are any."""
         while True:
+            await self._owner_busy.wait()
             await asyncio.sleep(TICK_S)
-            if self._owner.busy:
-                self._owner.tick(self._loop.time())
+            self._owner.tick(self._loop.time())
+            if not self._owner.busy:
+                self._owner_busy.clear()
 
     async def _sweep(self) -> None:
         while True:
@@ -189,21 +193,16 @@
             self._set_servers(report.pools)
 
     async def _beat(self) -> None:
-        """Tells the VMs of the zone that this one watches the store for them.
-
-        The first beat goes out at once, so that others that would begin as well do not.
-        """
-        due = 0.0
+        """Tells the VMs of the zone that this one watches the store for them."""
         while True:
-            await asyncio.sleep(TICK_S)
-            now = self._loop.time()
-            if not self._watches():
-                due = 0.0
-            elif now >= due:
-                due = now + watch_role.BEAT_S
-                message = self._ping_message(answer=False)
-                for vm in self._zone_peers():
-                    self._send(vm.address, message)
+            await asyncio.sleep(watch_role.BEAT_S)
+            if self._watches():
+                self._tell_zone()
+
+    def _tell_zone(self) -> None:
+        message = self._ping_message(answer=False)
+        for vm in self._zone_peers():
+            self._send(vm.address, message)
 
     async def _ping(self) -> None:
         """Asks VMs that did not answer, and tells other zones what this VM has."""
@@ -319,6 +318,7 @@
 
     def _on_slot_request(self, message: fleet_messages.SlotRequest) -> None:
         self._owner.request(message, self._loop.time())
+        self._owner_busy.set()
 
     def _on_slot_release(self, message: fleet_messages.SlotRelease) -> None:
         self._owner.release(message, self._loop.time())
--- a/tests/test_follow.py
+++ b/tests/test_follow.py
@@ -44,7 +44,9 @@
         self.state = follow.StoreState(now)
         self.role = watch_role.WatchRole("vm-1", now - 100.0 if watches else now + 100.0)
         self.changed, self.watched = [], []
-        callbacks = follow.Callbacks(self.changed.append, lambda *args: self.watched.append(args))
+        callbacks = follow.Callbacks(
+            self.changed.append, lambda *args: self.watched.append(args), lambda: None
+        )
         self.follower = follow.Follower(self.client, self.state, self.role, callbacks)
 
     async def run(self):
