--- a/dotterelfront/node.py
+++ b/dotterelfront/node.py
@@ -176,7 +176,7 @@
                 self._send(address, fleet_messages.Pull(self._cfg.vm.address, 0))
 
     async def _tick(self) -> None:
-        """Lets the granted and waiting requests of this VM's shards advance, while there are any."""
+        """Lets the requests that wait or hold slots of this VM's shards advance."""
         while True:
             await self._owner_busy.wait()
             await asyncio.sleep(TICK_S)
