--- a/dotterelfront/exchange.py
+++ b/dotterelfront/exchange.py
@@ -27,7 +27,9 @@
 KEEP_ALIVE_PROBES = 2
 """TCP probes end a silent connection after three seconds; a server may take longer to answer."""
 MAX_RESPONSE_BYTES = 16_000_000
+"""Responses are held whole; this is a twentieth of a VM's memory, users' bodies are kilobytes."""
 MAX_HEAD_BYTES = 64_000
+"""Four times the largest head that the users' configuration allows in a request."""
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=([0-9]+)")
 
 
--- a/dotterelfront/follow.py
+++ b/dotterelfront/follow.py
@@ -22,8 +22,10 @@
 BATCH_S = 0.15
 """Changes are collected for this long between two watches, as each call counts."""
 IDLE_S = 0.1
+"""Interval at which a VM that does not watch looks whether it should."""
 BACKOFF_MIN_S = 0.05
 BACKOFF_MAX_S = 0.8
+"""Pauses between failed calls; the longest leaves time for a retry within the 2 s of a change."""
 BEHIND_S = 0.8
 """Time in which the own zone's watchers should have brought what another zone already has."""
 POLL_S = 0.2
--- a/dotterelfront/gateway.py
+++ b/dotterelfront/gateway.py
@@ -25,7 +25,6 @@
 LINGER_S = 1.0
 """Time in which the caller may close a connection that has had its last answer. Closing with unread
 bytes would reset it, and the answer could be lost."""
-SWEEP_S = 0.5
 
 
 class Timeouts(msgspec.Struct, frozen=True):
--- a/dotterelfront/load_shedding.py
+++ b/dotterelfront/load_shedding.py
@@ -21,6 +21,7 @@
 SHED_RECOVERY_PER_S = 0.1
 """Share of its slots that a server regains per second."""
 MIN_SHARE = 0.1
+"""Share of its slots that a server keeps, so that its recovery shows."""
 SHED_PAUSE_S = 0.05
 MAX_SHED_PAUSE_S = 1.0
 """A server that sheds gets no request for a pause, doubled at each refusal in a row. A refusal
--- a/dotterelfront/mesh.py
+++ b/dotterelfront/mesh.py
@@ -23,6 +23,7 @@
 """A push holds the whole configuration, at most a value of the store, and all servers."""
 RECONNECT_MIN_MS = 50
 RECONNECT_MAX_MS = 1_000
+"""Bounds of the pauses between attempts to connect; a restarted VM is reached within a second."""
 MAX_PEERS = 512
 """Sockets that are kept; the one unused for longest goes first."""
 
--- a/dotterelfront/node.py
+++ b/dotterelfront/node.py
@@ -32,10 +32,13 @@
 from dotterelfront.platform import boot, records, store, wire
 
 TICK_S = 0.05
+"""Interval at which requests that wait are checked against their ends, well below any objective."""
 SWEEP_S = 0.5
+"""Interval of checks for idle connections, whose limits are seconds."""
 SEED_ASK_S = 1.0
 """A listing takes less than this while the store is well."""
 PING_S = 1.0
+"""Interval at which silent VMs are asked again and other zones told of changes."""
 PING_PEERS = 2
 """VMs of other zones that a watcher tells of its revision each second."""
 LEASE_S = 15.0
@@ -48,6 +51,7 @@
 EXIT_MARGIN_S = 0.4
 """Time between the last answer and the platform's SIGKILL."""
 BACKLOG = 512
+"""Connections that wait to be accepted; a burst after a restart brings a zone's callers at once."""
 RETRY_RATIO_SHARE = 0.85
 RETRY_SLACK_SHARE = 0.8
 """Parts of the users' bounds on repeated sends that the owners of all zones give out together. The
--- a/dotterelfront/platform/store.py
+++ b/dotterelfront/platform/store.py
@@ -29,6 +29,7 @@
 IDLE_S = 1.5
 """Kept connections are used for this long: one that went silent costs a call its whole timeout."""
 MAX_PAGES = 1_000
+"""Pages of one listing: half a million items, far above the largest fleet's."""
 
 
 class _Item(msgspec.Struct, rename="kebab"):
--- a/dotterelfront/relay.py
+++ b/dotterelfront/relay.py
@@ -36,6 +36,7 @@
 PATH_MEMORY_S = 8.0
 """A server to which this VM could not connect is avoided for this long."""
 DEFAULT_RETRY_AFTER_S = 0.5
+"""A caller comes back after this time when servers rejected its request at random."""
 END_S = 0.1
 """A failure that comes this close to a request's end is due to its time, not to the server."""
 
--- a/dotterelfront/slot_owner.py
+++ b/dotterelfront/slot_owner.py
@@ -36,9 +36,11 @@
 """Time after a request's end until its slot is taken back without a release."""
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 1.5
+"""Bounds of the time to come back; callers wait at most a third of what they have left."""
 CONNECT_WITNESSES = 2
 """VMs that must fail to connect before a server is suspected; one alone may be cut off itself."""
 WITNESS_S = 2.0
+"""Failures to connect count together for this long."""
 WARMUP_S = 3.0
 """Time over which a new server's slots come into use."""
 
--- a/dotterelfront/upstream.py
+++ b/dotterelfront/upstream.py
@@ -28,6 +28,7 @@
 IDLE_MARGIN_S = 1.0
 """A connection is given up this long before the time that the server announces."""
 MAX_IDLE = 8
+"""Idle connections kept for one server, more than a VM uses of its slots at once."""
 ANSWER_SLACK_S = 0.05
 """Time for a response that the server sends at the end of the time that it was given."""
 
--- a/dotterelfront/watch_role.py
+++ b/dotterelfront/watch_role.py
@@ -18,6 +18,7 @@
 WATCHERS_PER_ZONE = 2
 """One that is cut off from the store notices it only after a second or two."""
 BEAT_S = 0.3
+"""Interval of a watcher's beats."""
 SILENCE_S = 1.0
 """Three beats; a change must be in force two seconds after the store took it, and a new watcher
 needs a few calls to catch up."""
