Keep the slots of a VM's previous process apart from its own

Cause, found by reading: call ids began at 1 with each process, and the owner answered a call that it still held for the previous one with that one's server, also of another pool. A request could so reach a service to which no route leads. Change: call ids begin at the incarnation, the owner ends a held call of another pool, and a relay sends nothing to a server of another pool. The three tests failed first.

--- a/dotterelfront/node.py
+++ b/dotterelfront/node.py
@@ -84,7 +84,7 @@
             self._limits(), self._send, self._view.is_first_owner, seed=incarnation
         )
         topology = slot_client.Topology(self._view.zones, self._view.owners, self._on_unreachable)
-        self._slots = slot_client.SlotClient(cfg.vm, self._send_to_vm, topology, seed=incarnation)
+        self._slots = slot_client.SlotClient(cfg.vm, self._send_to_vm, topology, incarnation)
         self._upstream = upstream.Upstream()
         self._relay = relay.Relay(
             self._slots, self._view.catalog.get, self._upstream, seed=incarnation
--- a/dotterelfront/relay.py
+++ b/dotterelfront/relay.py
@@ -174,7 +174,7 @@
         try:
             call.committed = not route.idempotent
             started = asyncio.get_running_loop().time()
-            outcome = await self._send(lease.server, req, progress)
+            outcome = await self._send(lease.server, pool, req, progress)
             result = _RESULTS[outcome.verdict]
             if outcome.verdict is not Verdict.ANSWERED:
                 _log_failure(req, route, lease.server, outcome, started)
@@ -184,11 +184,15 @@
             lease.release(result)
 
     async def _send(
-        self, server_id: models.ServerId, req: upstream.UpstreamRequest, progress: _Progress
+        self,
+        server_id: models.ServerId,
+        pool: models.PoolName,
+        req: upstream.UpstreamRequest,
+        progress: _Progress,
     ) -> _Outcome:
         now = asyncio.get_running_loop().time()
         server = self._servers(server_id)
-        if server is None or now >= progress.ends:
+        if server is None or server.pool != pool or now >= progress.ends:
             return _Outcome(Verdict.UNREACHED)
         progress.avoid.append(server_id)
         try:
--- a/dotterelfront/slot_client.py
+++ b/dotterelfront/slot_client.py
@@ -31,6 +31,8 @@
 the second. A request that crosses zones costs up to a quarter of its worth, this wait little."""
 POLL_S = 0.2
 """A waiting request looks this often for a free slot in other zones."""
+CALLS_A_MILLISECOND = 1_000
+"""Call ids between two incarnations, which are milliseconds apart."""
 OWNERS_TRIED = 2
 """Owners of a zone that are asked; after that this VM grants for itself."""
 NO_SERVER_RETRY_S = 0.5
@@ -77,13 +79,14 @@
         vm: models.Vm,
         send: Callable[[models.Vm, fleet_messages.Message], bool],
         topology: Topology,
-        seed: int = 0,
+        incarnation: int = 0,
     ):
         self._vm = vm
         self._send = send
         self._topology = topology
-        self._rng = random.Random(seed)
-        self._ids = itertools.count(1)
+        self._rng = random.Random(incarnation)
+        # Owners still hold calls of the VM's previous process, so no id may come again.
+        self._ids = itertools.count(incarnation * CALLS_A_MILLISECOND)
         self._replies: dict[int, asyncio.Queue[fleet_messages.Message]] = {}
 
     def on_reply(self, message: fleet_messages.Message) -> None:
--- a/dotterelfront/slot_owner.py
+++ b/dotterelfront/slot_owner.py
@@ -137,11 +137,13 @@
     def request(self, message: fleet_messages.SlotRequest, now: float) -> None:
         """Takes a request for a slot; the reply comes at once or when a slot is free."""
         key = (message.sender, message.call_id)
+        shard_key = (message.pool, message.zone)
         call = self._calls.get(key)
-        if call is not None:
+        if call is not None and call.shard == shard_key:
             self._ask_again(call, now)
             return
-        shard_key = (message.pool, message.zone)
+        if call is not None:
+            self._end(call, health.AttemptResult.CANCELLED, now)
         shard = self._shard(shard_key, now)
         if message.repeat and not shard.budget.take():
             reason = pools.RefuseReason.OVERLOADED
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -201,8 +202,11 @@
     parts = (fleetmodel.Part("orders", 90.0), fleetmodel.Part("refunds", 10.0))
     slots = Slots(grants=1000)
 
+    def of_its_pool(server):
+        return msgspec.structs.replace(instance(server), pool=slots.needs[-1].pool)
+
     async def play():
-        subject = relay.Relay(slots, instance, Servers([]), seed=1)
+        subject = relay.Relay(slots, of_its_pool, Servers([]), seed=1)
         subject.configure(configuration(parts=parts))
         for _ in range(1000):
             await subject.handle(make_call(arrived=asyncio.get_running_loop().time()))
@@ -212,6 +216,22 @@
     assert 0.07 < share < 0.13
 
 
+def test_a_server_of_another_pool_gets_no_request():
+    """Guards against a request that a service runs to which no route leads."""
+    slots, servers = Slots(grants=1), Servers([])
+    other = lambda server: msgspec.structs.replace(instance(server), pool="other")  # noqa: E731
+
+    async def play():
+        subject = relay.Relay(slots, other, servers)
+        subject.configure(configuration())
+        with pytest.raises(errors.OverloadedError):
+            await subject.handle(make_call(arrived=asyncio.get_running_loop().time()))
+
+    asyncio.run(play())
+    assert servers.sent == []
+    assert slots.results == [health.AttemptResult.CONNECT_FAILED]
+
+
 def test_a_cancelled_request_releases_its_slot():
     """Guards against slots that stay taken by callers that have left."""
     slots = Slots()
--- a/tests/test_slot_client.py
+++ b/tests/test_slot_client.py
@@ -17,7 +17,7 @@
 class Fleet:
     """Owners of two zones; ``script`` maps an owner to its replies, none for silence."""
 
-    def __init__(self, monkeypatch, script, zones=("b", "a"), poll_s=9.0):
+    def __init__(self, monkeypatch, script, zones=("b", "a"), poll_s=9.0, incarnation=0):
         monkeypatch.setattr(slot_client, "REPLY_TIMEOUT_S", 0.0)
         monkeypatch.setattr(slot_client, "ASK_AGAIN_S", 0.0)
         monkeypatch.setattr(slot_client, "POLL_S", poll_s)
@@ -29,7 +29,7 @@
             lambda pool, zone: [vm(f"{zone}1"), vm(f"{zone}2")],
             lambda owner: self.unreachable.append(owner.id),
         )
-        self.client = slot_client.SlotClient(VM, self.send, topology)
+        self.client = slot_client.SlotClient(VM, self.send, topology, incarnation)
 
     def send(self, owner, message):
         self.sent.append((owner.id, message))
@@ -141,3 +141,14 @@
     with pytest.raises(errors.OverloadedError):
         fleet.acquire()
     assert fleet.sent == []
+
+
+def test_processes_of_one_vm_use_different_call_ids(monkeypatch):
+    """Guards against a restarted VM that takes its predecessor's replies and slots for its own."""
+    ids = []
+    for incarnation in (1_000, 1_001):
+        fleet = Fleet(monkeypatch, {"a1": ["i-1"] * 50}, incarnation=incarnation)
+        for _ in range(50):
+            fleet.acquire()
+        ids.append({message.call_id for _, message in fleet.sent})
+    assert not ids[0] & ids[1]
--- a/tests/test_slot_owner.py
+++ b/tests/test_slot_owner.py
@@ -182,6 +182,15 @@
     assert granted(owner.ask(2))
 
 
+def test_a_call_id_that_another_request_had_gets_no_slot_of_that_one():
+    """Guards against a restarted VM whose request is granted a server of another pool."""
+    owner = Owner()
+    owner.core.set_servers("refunds", {ZONE: servers("i-9")}, 0.0)
+    assert owner.ask(1).server != "i-9"
+    assert owner.ask(1, pool="refunds").server == "i-9"
+    assert owner.core.snapshots(100.0)[0].in_flight == 0
+
+
 def test_a_slot_without_release_is_taken_back():
     """Guards against slots lost with the VM that held them."""
     owner = Owner(names=["i-1"])
