Contain failures of single messages; drop settings that nothing uses

Cause, found by reading: an exception in the handling of one message ended the task that receives all, and with it the VM. memory_mb and floor_share were read and not used; log_format is used now.

--- a/dotterelfront/mesh.py
+++ b/dotterelfront/mesh.py
@@ -102,4 +102,11 @@
             self.counters["malformed"] += 1
             return
         self.counters["received"] += 1
-        self._on_message(message)
+        try:
+            self._on_message(message)
+        except Exception as exc:
+            # One message must not end the VM's part in the fleet.
+            self.counters["failed"] += 1
+            logs.event(
+                "message failed", level="ERROR", kind=type(message).__name__, error=repr(exc)
+            )
--- a/dotterelfront/node.py
+++ b/dotterelfront/node.py
@@ -402,7 +402,7 @@
 def run(path: str) -> None:
     """Runs the VM of a settings file; raises ``errors.ConfigurationError``."""
     cfg = boot.load(path)
-    logs.configure(logs.LogFormat.JSON, cfg.vm_id)
+    logs.configure(cfg.log_format, cfg.vm_id)
     asyncio.run(_run(cfg, path))
 
 
--- a/dotterelfront/platform/boot.py
+++ b/dotterelfront/platform/boot.py
@@ -12,7 +12,7 @@
 import msgspec
 import pyjson5
 
-from dotterelfront import errors, models
+from dotterelfront import errors, logs, models
 from dotterelfront.platform import formats
 
 SETTINGS_VARIABLE = "DOTTERELFRONT_BOOT"
@@ -29,16 +29,10 @@
     retry_window_s: float = 10.0
     retry_slack: float = 50.0
     """Repeated sends per window and service: this many and ``retry_ratio`` of its requests."""
-    floor_share: float = 0.7
-    """Share of a service's healthy servers that must keep receiving requests."""
 
 
 _SECONDS = {"drain": "drain_s", "grace": "grace_s", "retry-window": "retry_window_s"}
-_NUMBERS = {
-    "retry-ratio": "retry_ratio",
-    "retry-slack": "retry_slack",
-    "floor-share": "floor_share",
-}
+_NUMBERS = {"retry-ratio": "retry_ratio", "retry-slack": "retry_slack"}
 
 
 class Settings(msgspec.Struct, frozen=True, kw_only=True):
@@ -56,8 +50,7 @@
     """Regions by availability zone."""
     seeds: list[str] = []
     """Addresses of VMs that may hold a copy of the configuration while the store is away."""
-    memory_mb: float = 300.0
-    log_format: str = "json"
+    log_format: logs.LogFormat = logs.LogFormat.JSON
     limits: dict[str, str | float | bool] = {}
 
     @property
