--- a/dotterelfront/catalog.py
+++ b/dotterelfront/catalog.py
@@ -46,9 +46,6 @@
     def instances(self, pool: models.PoolName) -> tuple[fleetmodel.Instance, ...]:
         return self._by_pool.get(pool, ())
 
-    def pools(self) -> list[models.PoolName]:
-        return sorted(self._by_pool)
-
     def update(self, records: Iterable[fleetmodel.Record], trusted: bool, now: float) -> Report:
         """Takes changed records; ``trusted`` says whether the store is well and has been."""
         unreadable, changed = [], False
--- a/dotterelfront/relay.py
+++ b/dotterelfront/relay.py
@@ -98,6 +98,10 @@
 }
 """Whether a request that may run only once may be sent again."""
 _MAY_REPEAT_IDEMPOTENT = _MAY_REPEAT | {Verdict.FAILED: True, Verdict.LOST: True}
+_PASSED_ON = frozenset([Verdict.ANSWERED, Verdict.FAILED, Verdict.TIMEOUT])
+"""Verdicts after which a complete response goes to the caller."""
+NOT_RUN_STATUSES = frozenset([408, 421, 429, 503])
+"""Statuses that tell a caller that its request was not run; a server's own may be untrue."""
 
 
 class _Progress(msgspec.Struct):
@@ -129,10 +133,6 @@
         self._routes = routing.RouteTable(())
         self._unreached: dict[models.ServerId, float] = {}
 
-    @property
-    def config(self) -> fleetmodel.Configuration | None:
-        return self._config
-
     def configure(self, config: fleetmodel.Configuration) -> None:
         """Puts a configuration in force for requests that arrive from now on."""
         self._config = config
@@ -294,12 +294,6 @@
     raise errors.OutcomeUnknownError("no usable response")
 
 
-_PASSED_ON = frozenset([Verdict.ANSWERED, Verdict.FAILED, Verdict.TIMEOUT])
-"""Verdicts after which a complete response goes to the caller."""
-NOT_RUN_STATUSES = frozenset([408, 421, 429, 503])
-"""Statuses that tell a caller that its request was not run; a server's own may be untrue."""
-
-
 def _upstream_request(call: Call, route: fleetmodel.FleetRoute) -> upstream.UpstreamRequest:
     kept = [
         pair
--- a/dotterelfront/slot_owner.py
+++ b/dotterelfront/slot_owner.py
@@ -73,7 +73,6 @@
     reply_to: str
     ends: float
     heard: float
-    idempotent: bool
     repeat: bool
     route: models.RouteName
     granted: float = 0.0
@@ -157,7 +156,6 @@
             reply_to=message.reply_to,
             ends=now + message.left_s,
             heard=now,
-            idempotent=message.idempotent,
             repeat=message.repeat,
             route=message.route,
         )
