Revert "Try a server that failed with one request at a time until it answers"

Conclusion: no gain. The failures at the same moment are not the first requests after a suspicion but requests that were under way together when a gray period began.

--- a/dotterelfront/gray_server.py
+++ b/dotterelfront/gray_server.py
@@ -43,9 +43,6 @@
 """A request waits for a server that is not suspected for this part of its time; longer when it has
 failed once and may have no further try. Gray servers often fail at once, so that they look idle
 when the good ones are full."""
-UNPROVEN_S = 15.0
-"""A server that failed gets one request at a time until it answers one, at most for this long: it
-has been idle, so it would get the next requests all at once."""
 TRIAL_S = 2.0
 """A suspected server gets a first try of a request that may be repeated this often. More tries use
 up the budget of repeated sends: two gray servers of six took half of it at 0.5 s."""
@@ -57,8 +54,6 @@
     at: float = 0.0
     used: float = 0.0
     """When the server last got a request."""
-    unproven: bool = False
-    """Whether the server has failed and not answered since."""
 
 
 class Suspicion:
@@ -74,19 +69,12 @@
     def suspect(self, server: models.ServerId, now: float) -> bool:
         return server in self._levels and self.level(server, now) > SUSPECT
 
-    def unproven(self, server: models.ServerId, now: float) -> bool:
-        """Whether a server that failed lately should first show that it has recovered."""
-        found = self._levels.get(server)
-        return found is not None and found.unproven and now - found.at < UNPROVEN_S
-
     def failed(self, server: models.ServerId, now: float) -> None:
         self._observe(server, FAILURE_WEIGHT, now)
-        self._levels[server].unproven = True
 
     def answered(self, server: models.ServerId, now: float) -> None:
         if server in self._levels:
             self._observe(server, SUCCESS_WEIGHT, now)
-            self._levels[server].unproven = False
 
     def late(self, server: models.ServerId, now: float) -> None:
         """Records a request that has run far beyond its usual time and is not finished."""
@@ -111,8 +99,7 @@
     def _observe(self, server: models.ServerId, weight: float, now: float) -> None:
         value = min(MAX_LEVEL - PRIOR, max(0.0, self._distance(server, now) + weight))
         held = self._levels.get(server)
-        used, unproven = (held.used, held.unproven) if held else (now, False)
-        self._levels[server] = _Level(value, now, used, unproven)
+        self._levels[server] = _Level(value, now, held.used if held else now)
 
     def _distance(self, server: models.ServerId, now: float) -> float:
         found = self._levels.get(server)
--- a/dotterelfront/pools.py
+++ b/dotterelfront/pools.py
@@ -432,7 +432,11 @@
         if self._queue or not self._active:
             return False
         server = self._pick(ticket, now)
-        return server is not None and server not in ticket.avoid and not self._doubtful(server, now)
+        return (
+            server is not None
+            and server not in ticket.avoid
+            and not self._suspicion.suspect(server, now)
+        )
 
     def _pick(self, ticket: queueing.Ticket, now: float) -> models.ServerId | None:
         """Returns the server to use: least suspect, least penalty, least load, ties at random."""
@@ -447,11 +451,10 @@
             usable = self._usable(server, now)
             if busy >= usable or not self.health.eligible(address, idempotent, now):
                 continue
-            doubtful = self._doubtful(address, now)
+            suspect = self._suspicion.suspect(address, now)
             rank = (
                 address in ticket.avoid,
-                doubtful,
-                self._suspicion.level(address, now) if doubtful else 0.0,
+                self._suspicion.level(address, now) if suspect else 0.0,
                 self.health.penalty(address, now),
                 busy / usable,
             )
@@ -465,9 +468,7 @@
 
     def _holds(self, ticket: queueing.Ticket, server: models.ServerId, now: float) -> bool:
         """Whether a ticket rather waits for a server that is not suspected."""
-        if not self._doubtful(server, now):
-            return False
-        if all(self._doubtful(address, now) for address in self._active):
+        if not self._suspicion.suspect(server, now) or self._all_suspect(now):
             return False
         first = not ticket.avoid
         if first and ticket.idempotent and self._suspicion.trial_due(server, now):
@@ -475,12 +476,6 @@
         share = gray_server.HOLD_SHARE if first else gray_server.HOLD_SHARE_REPEATED
         return now < ticket.enqueued + share * (ticket.deadline - ticket.enqueued)
 
-    def _doubtful(self, server: models.ServerId, now: float) -> bool:
-        """Whether a server is suspected, or should first finish the one request that it has."""
-        return self._suspicion.suspect(server, now) or (
-            self._busy[server] > 0 and self._suspicion.unproven(server, now)
-        )
-
     def _all_suspect(self, now: float) -> bool:
         return all(self._suspicion.suspect(address, now) for address in self._active)
 
