Send nothing again for a caller that has left; forget witnesses of servers that are gone

Cause, found by reading: an order under way is not broken off when its caller leaves, but after a rejection it went to another server; and failures to connect were remembered for each server for good. The tests failed first.

--- a/dotterelfront/gateway.py
+++ b/dotterelfront/gateway.py
@@ -229,7 +229,10 @@
         """Cancels what nobody waits for any more."""
         self._closing = True
         for pending in self._pending:
-            if pending.task is not None and not pending.call.committed:
+            if pending.task is None:
+                continue
+            pending.call.left = True
+            if not pending.call.committed:
                 pending.task.cancel()
 
 
--- a/dotterelfront/relay.py
+++ b/dotterelfront/relay.py
@@ -44,13 +44,15 @@
 class Call(msgspec.Struct):
     """A caller's request. ``arrived`` is on the event loop's clock.
 
-    ``committed`` is set while a request that must not be broken off is at a server.
+    ``committed`` is set while a request that must not be broken off is at a server, ``left`` once
+    the caller has closed its connection.
     """
 
     head: headers.RequestHead
     body: bytes
     arrived: float
     committed: bool = False
+    left: bool = False
 
 
 class Answer(msgspec.Struct):
@@ -152,7 +154,7 @@
         req = _upstream_request(call, route)
         while True:
             outcome = await self._attempt(call, route, pool, req, progress)
-            if outcome is None or not self._again(route, outcome, progress):
+            if outcome is None or not self._again(route, outcome, progress) or call.left:
                 return _answer(outcome or progress.last, progress)
 
     async def _attempt(
--- a/dotterelfront/slot_owner.py
+++ b/dotterelfront/slot_owner.py
@@ -131,7 +131,10 @@
             if shard is not None:
                 pool_now, servers = _as_pool(key, self._servers.get(key, ()))
                 self._carry_out(key, shard.queue.reconfigure(pool_now, servers, now), now)
-        self._suspicion.keep({server.id for found in self._servers.values() for server in found})
+        alive = {server.id for found in self._servers.values() for server in found}
+        self._suspicion.keep(alive)
+        for server in self._witnesses.keys() - alive:
+            del self._witnesses[server]
 
     def request(self, message: fleet_messages.SlotRequest, now: float) -> None:
         """Takes a request for a slot; the reply comes at once or when a slot is free."""
@@ -191,8 +194,8 @@
                 self._carry_out(key, shard.queue.tick(now), now)
         for call in list(self._calls.values()):
             self._note_lateness(call, now)
-            forsaken = call.attempt_id is None and now - call.heard > ASK_AGAIN_S
-            if forsaken or now > call.ends + GRANT_SLACK_S:
+            abandoned = call.attempt_id is None and now - call.heard > ASK_AGAIN_S
+            if abandoned or now > call.ends + GRANT_SLACK_S:
                 self._end(call, health.AttemptResult.CANCELLED, now)
 
     def snapshots(self, now: float) -> list[pools.Snapshot]:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -116,6 +116,7 @@
         caller.conn.connection_lost(None)
         await settle()
         assert caller.cancelled == []
+        assert caller.call.left
 
     run(play)
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -232,6 +232,27 @@
     assert slots.results == [health.AttemptResult.CONNECT_FAILED]
 
 
+def test_a_request_whose_caller_has_left_is_not_sent_again():
+    """Guards against work that begins for a caller that has left while an order was under way."""
+    call, slots = make_call(arrived=1e9), Slots()
+
+    class Leaving(Servers):
+        async def send(self, server, req, left_s):
+            call.left = True
+            return await super().send(server, req, left_s)
+
+    servers = Leaving([STEPS["not run"], STEPS["answer"]])
+
+    async def play():
+        subject = relay.Relay(slots, instance, servers)
+        subject.configure(configuration())
+        with pytest.raises(errors.OverloadedError):
+            await subject.handle(call)
+
+    asyncio.run(play())
+    assert len(servers.sent) == 1
+
+
 def test_a_cancelled_request_releases_its_slot():
     """Guards against slots that stay taken by callers that have left."""
     slots = Slots()
--- a/tests/test_slot_owner.py
+++ b/tests/test_slot_owner.py
@@ -143,6 +143,15 @@
     assert count_repeats(owner, range(200, 220), 110.0) == 2
 
 
+def test_what_is_known_of_servers_ends_with_them():
+    """Guards against state that grows with each restart of a server."""
+    owner = Owner(names=["i-1"])
+    owner.ask(1)
+    owner.end(1, RESULT.CONNECT_FAILED)
+    owner.core.set_servers(POOL, {ZONE: servers("i-2")}, 101.0)
+    assert not owner.core._witnesses
+
+
 def test_repeats_that_wait_are_counted_when_they_are_let_in():
     """Guards against a queue of repeats that were all let in on the same saved one."""
     owner = Owner(names=["i-1"], burst=2.0, ratio=0.0)
