Trust the store as long as one watcher has found it well

Ruled out: late news (the record was known to all 0.2 s after the store took it). Records that lapse in an outage are kept as before, for which a test stands.

--- a/dotterelfront/follow.py
+++ b/dotterelfront/follow.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from dotterelfront import errors, fleetmodel, logs, replica, watch_role
+from dotterelfront import errors, fleetmodel, logs, models, replica, watch_role
 from dotterelfront.platform import store
 
 EVERYTHING = ""
@@ -35,41 +35,70 @@
 
 
 class StoreState:
-    """Since when the store has been well; ``well_since`` is None while it is in trouble.
+    """Since when the store has been well, from this VM's calls and from the watchers that it hears.
 
-    A VM that watches knows it from its calls, another one from the watchers that it hears.
+    The store is well as long as anybody can say so: a VM that was cut off from it alone must not
+    take records that vanish for lapsed ones, and neither must those that hear it.
     """
 
     def __init__(self, now: float):
-        self.well_since: float | None = now
+        self._own: float | None = now
         self._failing_since: float | None = None
+        self._reports: dict[models.VmId, tuple[float, float]] = {}
+        """For each watcher since when the store has been well, and when it said so."""
+
+    @property
+    def reachable(self) -> bool:
+        """Whether this VM's own calls succeed, as far as it makes any."""
+        return self._own is not None
 
     def succeeded(self, now: float) -> None:
         self._failing_since = None
-        if self.well_since is None:
-            self.well_since = now
+        if self._own is None:
+            self._own = now
             logs.event("store reached")
 
     def failed(self, now: float, since: float | None = None) -> None:
         """Records a failed call that began at ``since``."""
         if self._failing_since is None:
             self._failing_since = now if since is None else since
-        if self.well_since is not None and now - self._failing_since >= TROUBLE_S:
-            self.well_since = None
+        if self._own is not None and now - self._failing_since >= TROUBLE_S:
+            self._own = None
             logs.event("store lost", level="WARNING")
 
-    def reported(self, well_s: float, now: float) -> None:
-        """Takes a watcher's word that the store has been well for ``well_s``."""
-        self._failing_since = None
-        self.well_since = now - well_s
+    def reported(self, watcher: models.VmId, well_s: float, watches: bool, now: float) -> None:
+        """Takes a watcher's word that the store has been well for ``well_s``.
 
-    def well_s(self, now: float) -> float | None:
-        return None if self.well_since is None else now - self.well_since
+        A VM that does not watch has no calls of its own to go by.
+        """
+        self._reports[watcher] = (now - well_s, now)
+        if not watches:
+            self._failing_since = None
+            self._own = min(self._recent(now))
+
+    def own_well_s(self, now: float) -> float | None:
+        """Returns for how long this VM's calls have succeeded, for its reports to others."""
+        return None if self._own is None else now - self._own
+
+    def well_since(self, now: float) -> float | None:
+        """Returns since when the store has been well, None while nobody says that it is."""
+        found = self._recent(now)
+        if self._own is not None:
+            found.append(self._own)
+        return min(found, default=None)
 
     def trusted(self, now: float, return_s: float) -> bool:
         """Whether a record that vanishes now means that its owner is gone."""
-        well_s = self.well_s(now)
-        return self._failing_since is None and well_s is not None and well_s >= return_s
+        if self._failing_since is not None and not self._recent(now):
+            return False
+        since = self.well_since(now)
+        return since is not None and now - since >= return_s
+
+    def _recent(self, now: float) -> list[float]:
+        for watcher, (_, heard) in list(self._reports.items()):
+            if now - heard > watch_role.SILENCE_S:
+                del self._reports[watcher]
+        return [since for since, _ in self._reports.values()]
 
 
 class Callbacks(msgspec.Struct, frozen=True):
@@ -140,9 +169,9 @@
         if revision <= self.copy.revision:
             self._behind_since = None
             return False
-        if same_zone or self._state.well_since is None:
-            return True
         now = _now()
+        if same_zone or self._state.well_since(now) is None:
+            return True
         if self._behind_since is None:
             self._behind_since = now
         return now - self._behind_since >= BEHIND_S
@@ -175,7 +204,7 @@
             self._callbacks.watched(after, missed)
 
     def _wanted(self) -> bool:
-        return self._role.should_watch(_now()) and self._state.well_since is not None
+        return self._role.should_watch(_now()) and self._state.reachable
 
     async def _watch(self) -> None:
         after = self.copy.revision
--- a/dotterelfront/node.py
+++ b/dotterelfront/node.py
@@ -193,7 +193,8 @@
             await asyncio.sleep(SWEEP_S)
             now = self._loop.time()
             self._gateway.sweep(now)
-            report = self._view.catalog.expire_lapsed(self._store_state.well_since, now)
+            well_since = self._store_state.well_since(now)
+            report = self._view.catalog.expire_lapsed(well_since, now)
             self._set_servers(report.pools)
 
     async def _beat(self) -> None:
@@ -223,7 +224,7 @@
         """Whether this VM watches the store and the store serves it."""
         return (
             self._follower.listed
-            and self._store_state.well_since is not None
+            and self._store_state.reachable
             and self._role.should_watch(self._loop.time())
         )
 
@@ -337,8 +338,8 @@
             self._send(message.reply_to, self._ping_message(answer=False))
         if message.well_s is not None and message.zone == self._cfg.zone:
             self._role.heard(message.sender, now)
-            if not self._role.should_watch(now):
-                self._store_state.reported(message.well_s, now)
+            watches = self._role.should_watch(now)
+            self._store_state.reported(message.sender, message.well_s, watches, now)
         if self._follower.should_pull(message.revision, message.zone == self._cfg.zone):
             pull = fleet_messages.Pull(self._cfg.vm.address, self._follower.copy.revision)
             self._send(message.reply_to, pull)
@@ -361,7 +362,7 @@
             incarnation=self._view.incarnation,
             leaving=self._leaving.is_set(),
             revision=self._follower.copy.revision,
-            well_s=self._store_state.well_s(now) if self._watches() else None,
+            well_s=self._store_state.own_well_s(now) if self._watches() else None,
             answer=answer,
         )
 
--- a/tests/test_follow.py
+++ b/tests/test_follow.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from dotterelfront import errors, fleetmodel, follow, watch_role
 
 
@@ -109,10 +111,11 @@
     """Guards against a cut watch that makes records of living servers suspect."""
     state = follow.StoreState(0.0)
     state.failed(10.0)
-    assert state.well_since == 0.0
+    assert state.well_since(10.0) == 0.0
     assert not state.trusted(10.0, 2.0)
     state.failed(10.01 + follow.TROUBLE_S)
-    assert state.well_since is None
+    assert state.well_since(11.0) is None
+    assert not state.reachable
     state.succeeded(20.0)
     assert (state.trusted(21.9, 2.0), state.trusted(22.0, 2.0)) == (False, True)
 
@@ -120,21 +123,46 @@
 def test_a_vm_that_does_not_watch_believes_the_watchers():
     state = follow.StoreState(0.0)
     state.failed(5.0, since=1.0)
-    state.reported(well_s=60.0, now=6.0)
+    state.reported("vm-2", 60.0, watches=False, now=6.0)
     assert state.trusted(6.0, 2.0)
 
 
+@pytest.mark.parametrize("watches", [False, True])
+def test_a_watcher_that_was_cut_off_alone_makes_nobody_distrust_the_store(watches):
+    """Guards against a server that has left and is kept for 2 s as if its record had lapsed."""
+    state = follow.StoreState(0.0)
+    state.reported("vm-2", 60.0, watches, now=100.0)
+    state.reported("vm-3", 0.1, watches, now=100.1)
+    assert state.trusted(100.2, 2.0)
+    state.failed(100.3, since=99.0)
+    state.succeeded(100.4)
+    state.reported("vm-2", 60.5, watches, now=100.5)
+    assert state.trusted(100.5, 2.0)
+
+
+def test_an_outage_that_all_watchers_saw_is_believed():
+    """Guards against servers that are dropped because their records lapsed in an outage."""
+    state = follow.StoreState(0.0)
+    state.reported("vm-2", 60.0, watches=False, now=100.0)
+    state.failed(103.0, since=101.5)
+    assert state.well_since(103.0) is None
+    state.succeeded(110.0)
+    state.reported("vm-2", 0.2, watches=True, now=110.2)
+    assert not state.trusted(111.0, 2.0)
+    assert state.trusted(112.3, 2.0)
+
+
 def test_other_zones_are_asked_only_when_the_own_one_stays_behind(monkeypatch):
     """Guards against copies of all records that cross zones with each change."""
 
     async def play():
         found = await Following(changes(5, "a"), watches=False, monkeypatch=monkeypatch).run()
-        follower, clock = found.follower, iter([10.0, 10.5, 10.9, 20.0])
+        follower, clock = found.follower, iter([10.0, 10.0, 10.5, 10.9, 20.0])
         monkeypatch.setattr(follow, "_now", lambda: next(clock))
         assert not follower.should_pull(5, same_zone=True)
         assert follower.should_pull(6, same_zone=True)
         assert [follower.should_pull(6, same_zone=False) for _ in range(3)] == [False, False, True]
-        found.state.well_since = None
+        found.state.failed(30.0, since=20.0)
         assert follower.should_pull(7, same_zone=False)
 
     asyncio.run(play())
