--- a/dotterelfront/gateway.py
+++ b/dotterelfront/gateway.py
@@ -43,7 +43,6 @@
 
     reader: http1.RequestReader
     call: relay.Call | None
-    keep_alive: bool
     answer: relay.Answer | None = None
     task: asyncio.Task | None = None
 
@@ -173,7 +172,7 @@
     def _start(self, head: headers.RequestHead, body: bytes) -> None:
         reader, self._reader = self._reader, self._new_reader()
         call = relay.Call(head, body, self._last_read)
-        pending = _Pending(reader, call, head.keep_alive)
+        pending = _Pending(reader, call)
         self._pending.append(pending)
         pending.task = self._loop.create_task(self._run(pending))
         rest = reader.detach_rest()
@@ -189,7 +188,7 @@
     def _refuse(self, exc: errors.RequestError) -> None:
         """Answers bytes that are no proper request; the connection ends behind the answer."""
         self._closing = True
-        self._pending.append(_Pending(self._reader, None, False, refusal(exc)))
+        self._pending.append(_Pending(self._reader, None, refusal(exc)))
         self._flush()
 
     def _flush(self) -> None:
