Announce urgent changes between zones at once; watchers say when they lose the store

Watchers notice a silent store after 2 to 3 s and fall silent for another second.

Change: watchers tell one VM of each other zone of a new configuration or of a server that leaves. A VM that still lacks the change 0.3 to 0.5 s later pulls it and passes it on in its zone. Watchers bound their renewals to 0.8 s and say at once that they no longer watch.

Ruled out: more pings for every change.

Also: the stand-in of the store could not tell VMs on loopback apart, since all connect from 127.0.0.1, so the soak's fault "some" had no effect. Each VM now reaches the store at a host of its own, and a fault "silent" is added.

--- a/dotterelfront/catalog.py
+++ b/dotterelfront/catalog.py
@@ -23,10 +23,14 @@
 
 
 class Report(msgspec.Struct, frozen=True):
-    """What an update changed: pools with other servers, and records that could not be read."""
+    """What an update changed: pools with other servers, and records that could not be read.
 
-    pools: frozenset[models.PoolName]
-    unreadable: tuple[str, ...]
+    ``withdrawn`` says whether a server that got work may get no more.
+    """
+
+    pools: frozenset[models.PoolName] = frozenset()
+    unreadable: tuple[str, ...] = ()
+    withdrawn: bool = False
 
 
 class Catalog:
@@ -59,18 +63,18 @@
             except errors.RecordError:
                 unreadable.append(record.key)
                 changed |= self._drop(record.key)
-        return Report(self._index() if changed else frozenset(), tuple(unreadable))
+        return self._index(tuple(unreadable)) if changed else Report(unreadable=tuple(unreadable))
 
     def expire_lapsed(self, well_since: float | None, now: float) -> Report:
         """Drops servers whose records are not back; ``well_since`` is None while in trouble."""
         if well_since is None or now - well_since < RETURN_S:
-            return Report(frozenset(), ())
+            return Report()
         due = [key for key, at in self._lapsed.items() if now - max(at, well_since) >= RETURN_S]
         changed = False
         for key in due:
             del self._lapsed[key]
             changed |= self._drop(key)
-        return Report(self._index() if changed else frozenset(), ())
+        return self._index() if changed else Report()
 
     def _vanished(self, key: str, trusted: bool, now: float) -> bool:
         server = self._by_key.get(key)
@@ -95,13 +99,24 @@
         server = self._by_key.pop(key, None)
         return self._instances.pop(server, None) is not None
 
-    def _index(self) -> frozenset[models.PoolName]:
+    def _index(self, unreadable: tuple[str, ...] = ()) -> Report:
         fresh: dict[models.PoolName, list] = collections.defaultdict(list)
         for _, instance in sorted(self._instances.items()):
             fresh[instance.pool].append(instance)
         old, self._by_pool = self._by_pool, {pool: tuple(found) for pool, found in fresh.items()}
         names = old.keys() | self._by_pool.keys()
-        return frozenset(name for name in names if old.get(name) != self._by_pool.get(name))
+        return Report(
+            frozenset(name for name in names if old.get(name) != self._by_pool.get(name)),
+            unreadable,
+            withdrawn=bool(_active(old) - _active(self._by_pool)),
+        )
+
+
+def _active(
+    by_pool: dict[models.PoolName, tuple[fleetmodel.Instance, ...]],
+) -> set[models.ServerId]:
+    active = models.ServerState.ACTIVE
+    return {i.id for instances in by_pool.values() for i in instances if i.state is active}
 
 
 def _older(found: fleetmodel.Instance, held: fleetmodel.Instance) -> bool:
--- a/dotterelfront/fleet_messages.py
+++ b/dotterelfront/fleet_messages.py
@@ -87,21 +87,35 @@
     answer: bool = False
 
 
+class Notice(Message, frozen=True):
+    """Says that the sender has a change, up to ``revision``, that binds all VMs within seconds."""
+
+    reply_to: str
+    revision: int
+
+
 class Pull(Message, frozen=True):
-    """Asks for the changes after a revision."""
+    """Asks for the changes after a revision; ``pass_on`` comes back with the push."""
 
     reply_to: str
     after: int
+    pass_on: bool = False
 
 
 class Push(Message, frozen=True):
-    """Changes that follow on the revision ``after``."""
+    """Changes that follow on the revision ``after``.
+
+    With ``pass_on`` the receiver sends them to the VMs of its zone.
+    """
 
     after: int
     changes: fleetmodel.Changes
+    pass_on: bool = False
 
 
-AnyMessage = SlotRequest | SlotWaiting | SlotGrant | SlotRefusal | SlotRelease | Ping | Pull | Push
+AnyMessage = (
+    SlotRequest | SlotWaiting | SlotGrant | SlotRefusal | SlotRelease | Ping | Notice | Pull | Push
+)
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(AnyMessage)
--- a/dotterelfront/fleet_view.py
+++ b/dotterelfront/fleet_view.py
@@ -3,7 +3,7 @@
 Pure; every change comes with the time::
 
     view = FleetView(vm, incarnation, now=0.0)
-    view.on_servers(records, trusted=True, now=1.0)   # pools whose servers changed
+    view.on_servers(records, trusted=True, now=1.0)   # a catalog.Report
     view.owners(pool, zone)                           # VMs to ask for slots, the first owner first
 """
 
@@ -74,12 +74,12 @@
 
     def on_servers(
         self, changed: Iterable[fleetmodel.Record], trusted: bool, now: float
-    ) -> frozenset[models.PoolName]:
-        """Takes changed records of servers; returns the pools whose servers changed."""
+    ) -> catalog.Report:
+        """Takes changed records of servers; returns what that changed."""
         report = self.catalog.update(changed, trusted, now)
         for key in report.unreadable:
             logs.event("server record unreadable", level="WARNING", key=key)
-        return report.pools
+        return report
 
     def on_vms(self, found: Iterable[fleetmodel.Record], trusted: bool, now: float) -> None:
         """Takes the records of all VMs.
--- a/dotterelfront/node.py
+++ b/dotterelfront/node.py
@@ -23,6 +23,7 @@
     logs,
     mesh,
     models,
+    notices,
     relay,
     slot_client,
     slot_owner,
@@ -46,6 +47,9 @@
 """The VM's record lives for three renewals; calls to a VM that has ended show it sooner."""
 WATCHER_KEEP_S = 0.7
 """A watch that waits does not show that the store is in trouble; the watchers' renewals do."""
+WATCHER_KEEP_TIMEOUT_S = 0.8
+"""A watcher that the store does not answer hands over within two seconds; a renewal takes 4 ms,
+and 0.4 s on a store that is a hundred times slower."""
 ACCEPT_AFTER_TERM_S = 3.0
 """The balancer takes a VM out after two checks, one a second, that fail."""
 EXIT_MARGIN_S = 0.4
@@ -76,7 +80,7 @@
             self._client,
             self._store_state,
             self._role,
-            follow.Callbacks(self._on_changed, self._on_watched, self._tell_zone),
+            follow.Callbacks(self._on_changed, self._tell_changes, self._tell_zone),
             seed=incarnation,
         )
         self._mesh = mesh.Mesh(cfg.vm.address, self._on_message)
@@ -198,11 +202,14 @@
             self._set_servers(report.pools)
 
     async def _beat(self) -> None:
-        """Tells the VMs of the zone that this one watches the store for them."""
+        """Tells the VMs of the zone that this one watches the store for them, and when it ends."""
+        told = False
         while True:
             await asyncio.sleep(watch_role.BEAT_S)
-            if self._watches():
+            watches = self._watches()
+            if watches or told:
                 self._tell_zone()
+            told = watches
 
     def _tell_zone(self) -> None:
         message = self._ping_message(answer=False)
@@ -245,12 +252,13 @@
         while True:
             started = self._loop.time()
             watches = self._role.should_watch(started)
+            timeout_s = WATCHER_KEEP_TIMEOUT_S if watches else store.CALL_TIMEOUT_S
             try:
                 if self._lease is None:
                     lease = await self._client.lease(LEASE_S)
                     await self._client.put(key, value, lease)
                     self._lease = lease
-                elif not await self._client.keep(self._lease):
+                elif not await self._client.keep(self._lease, timeout_s):
                     self._lease = None
                     continue
                 if watches:
@@ -275,22 +283,33 @@
     def _on_changed(self, keys: set[str]) -> None:
         copy, now = self._follower.copy, self._loop.time()
         trusted = self._store_state.trusted(now, catalog.RETURN_S)
-        if records.CONFIG_KEY in keys:
-            self._on_config(copy.get(records.CONFIG_KEY))
+        urgent = records.CONFIG_KEY in keys and self._on_config(copy.get(records.CONFIG_KEY))
         servers = sorted(key for key in keys if key.startswith(records.SERVERS_PREFIX))
         if servers:
             found = [fleetmodel.Record(key, 0, copy.get(key)) for key in servers]
-            self._set_servers(self._view.on_servers(found, trusted, now))
+            report = self._view.on_servers(found, trusted, now)
+            self._set_servers(report.pools)
+            urgent |= report.withdrawn
         if any(key.startswith(fleet_view.VMS_PREFIX) for key in keys):
             self._view.on_vms(copy.items(fleet_view.VMS_PREFIX), trusted, now)
+        if urgent and self._watches():
+            self._notify_zones()
 
-    def _on_config(self, raw: bytes | None) -> None:
-        if self._view.on_config(raw):
+    def _on_config(self, raw: bytes | None) -> bool:
+        newer = self._view.on_config(raw)
+        if newer:
             self._relay.configure(self._view.config)
             logs.event("configuration in force", revision=self._view.config.revision)
+        return newer
 
-    def _on_watched(self, after: int, changes: fleetmodel.Changes) -> None:
-        """Passes on what the store has just told this VM."""
+    def _notify_zones(self) -> None:
+        """Tells other zones of a change, in case the store turns all their watchers away."""
+        notice = fleet_messages.Notice(self._cfg.vm.address, self._follower.copy.revision)
+        for vm in notices.receivers(self._view.members.listed(), self._cfg.vm.zone, self._rng):
+            self._send(vm.address, notice)
+
+    def _tell_changes(self, after: int, changes: fleetmodel.Changes) -> None:
+        """Passes on to the zone what this VM has learned from outside."""
         message = fleet_messages.Push(after, changes)
         for vm in self._zone_peers():
             self._send(vm.address, message)
@@ -336,22 +355,42 @@
         self._view.members.on_reached(message.sender, message.incarnation, message.leaving, now)
         if message.answer:
             self._send(message.reply_to, self._ping_message(answer=False))
-        if message.well_s is not None and message.zone == self._cfg.zone:
-            self._role.heard(message.sender, now)
-            watches = self._role.should_watch(now)
-            self._store_state.reported(message.sender, message.well_s, watches, now)
+        if message.zone == self._cfg.zone:
+            self._on_zone_ping(message, now)
         if self._follower.should_pull(message.revision, message.zone == self._cfg.zone):
             pull = fleet_messages.Pull(self._cfg.vm.address, self._follower.copy.revision)
             self._send(message.reply_to, pull)
 
+    def _on_zone_ping(self, message: fleet_messages.Ping, now: float) -> None:
+        if message.well_s is None:
+            self._role.lost(message.sender)
+            return
+        self._role.heard(message.sender, now)
+        watches = self._role.should_watch(now)
+        self._store_state.reported(message.sender, message.well_s, watches, now)
+
+    def _on_notice(self, message: fleet_messages.Notice) -> None:
+        if message.revision > self._follower.copy.revision:
+            self._loop.call_later(notices.wait_s(self._rng), self._pull_if_behind, message)
+
+    def _pull_if_behind(self, notice: fleet_messages.Notice) -> None:
+        revision = self._follower.copy.revision
+        if notice.revision > revision:
+            logs.event("pulling from another zone", revision=revision, wanted=notice.revision)
+            pull = fleet_messages.Pull(self._cfg.vm.address, revision, pass_on=True)
+            self._send(notice.reply_to, pull)
+
     def _on_pull(self, message: fleet_messages.Pull) -> None:
         changes = self._follower.copy.since(message.after)
         if changes is not None:
-            self._send(message.reply_to, fleet_messages.Push(message.after, changes))
+            push = fleet_messages.Push(message.after, changes, message.pass_on)
+            self._send(message.reply_to, push)
 
     def _on_push(self, message: fleet_messages.Push) -> None:
         if not self._follower.take(message.after, message.changes):
             logs.event("changes out of order", level="DEBUG", after=message.after)
+        elif message.pass_on:
+            self._tell_changes(message.after, message.changes)
 
     def _ping_message(self, answer: bool) -> fleet_messages.Ping:
         now = self._loop.time()
@@ -391,6 +430,7 @@
     fleet_messages.SlotGrant: Node._on_slot_reply,
     fleet_messages.SlotRefusal: Node._on_slot_reply,
     fleet_messages.Ping: Node._on_ping,
+    fleet_messages.Notice: Node._on_notice,
     fleet_messages.Pull: Node._on_pull,
     fleet_messages.Push: Node._on_push,
 }
--- a/dotterelfront/platform/store.py
+++ b/dotterelfront/platform/store.py
@@ -91,9 +91,9 @@
         res = await self._post("/v1/kv-lease", {"ttl_time": formats.duration(ttl_s)})
         return _decoded(res, _Lease).lease
 
-    async def keep(self, lease: int) -> bool:
+    async def keep(self, lease: int, timeout_s: float = CALL_TIMEOUT_S) -> bool:
         """Renews a lease; false when it has ended."""
-        res = await self._post(f"/v1/kv-keep/{lease}", None, accepted=(200, 404))
+        res = await self._call("POST", f"/v1/kv-keep/{lease}", None, timeout_s, (200, 404))
         return res.status == 200
 
     async def end_lease(self, lease: int) -> None:
@@ -115,8 +115,8 @@
         target = f"{path}?{urllib.parse.urlencode(query)}"
         return await self._call("GET", target, None, timeout_s, (200,))
 
-    async def _post(self, path: str, body: dict | None, accepted: tuple[int, ...] = (200,)):
-        return await self._call("POST", path, body, CALL_TIMEOUT_S, accepted)
+    async def _post(self, path: str, body: dict):
+        return await self._call("POST", path, body, CALL_TIMEOUT_S, (200,))
 
     async def _call(
         self, method: str, target: str, body: dict | None, timeout_s: float, accepted: tuple
@@ -126,7 +126,9 @@
         if raw:
             pairs.append(("Content-Type", "application/json"))
         try:
-            conn = self._take_idle() or await exchange.connect(self._address, CALL_TIMEOUT_S)
+            conn = self._take_idle() or await exchange.connect(
+                self._address, min(CALL_TIMEOUT_S, timeout_s)
+            )
             res = await conn.send(method, target, pairs, raw, timeout_s)
         except errors.ExchangeError as exc:
             raise errors.StoreUnavailableError(f"{method} {target}: {exc}") from exc
--- a/dotterelfront/watch_role.py
+++ b/dotterelfront/watch_role.py
@@ -44,6 +44,10 @@
     def heard(self, watcher: models.VmId, now: float) -> None:
         self._heard[watcher] = now
 
+    def lost(self, watcher: models.VmId) -> None:
+        """Records that a VM of the zone says that it does not watch."""
+        self._heard.pop(watcher, None)
+
     def should_watch(self, now: float) -> bool:
         for watcher, at in list(self._heard.items()):
             if now - at > SILENCE_S:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -7,22 +7,26 @@
 import signal
 import sys
 
-HTTP_PORT, READY_PORT, PEER_PORT = 8641, 8640, 7620
+HTTP_PORT, READY_PORT, PEER_PORT, STORE_PORT = 8641, 8640, 7620, 2391
+STORE_HOSTS = 200
+"""The store's host for a VM is this many above the VM's own."""
 
 
 class FleetVm:
     """One VM: a process that is started again when it ends, as on the platform."""
 
-    def __init__(self, number: int, network: str, zone: str, store: str, folder: pathlib.Path):
+    def __init__(self, number: int, network: str, zone: str, folder: pathlib.Path):
         self.name, self.zone = f"vm-{number}", zone
         self.host = f"{network}.{number}"
+        self.store_host = f"{network}.{STORE_HOSTS + number}"
+        """Where this VM alone reaches the store, so that the store can tell the VMs apart."""
         self.wanted = True
         self._process: asyncio.subprocess.Process | None = None
         self._settings = folder / f"{self.name}.json"
         self._log = folder / f"{self.name}.log"
-        self._settings.write_text(json.dumps(self._fields(network, store)))
+        self._settings.write_text(json.dumps(self._fields(network)))
 
-    def _fields(self, network: str, store: str) -> dict:
+    def _fields(self, network: str) -> dict:
         return {
             "vm_id": self.name,
             "address": self.host,
@@ -32,7 +36,7 @@
             "http_address": f"{self.host}:{HTTP_PORT}",
             "ready_address": f"{self.host}:{READY_PORT}",
             "peer_port": PEER_PORT,
-            "store_address": store,
+            "store_address": f"{self.store_host}:{STORE_PORT}",
             "seeds": [f"{network}.{number}:1" for number in (1, 2)],
             "limits": {"drain": "2000ms", "grace": "6s", "retry-slack": 50, "retry-ratio": 0.2},
         }
--- a/soak/play.py
+++ b/soak/play.py
@@ -7,6 +7,8 @@
 import pathlib
 import random
 import signal
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
 
 from soak import backend, caller, fleet, records
 from standins import platform_store
@@ -20,6 +22,7 @@
 START_S = 20.0
 LEAVE_S = 3.0
 """A leaving server serves for this long after its record says so."""
+Result = TypeVar("Result")
 
 
 @dataclasses.dataclass
@@ -45,9 +48,8 @@
         self.seen = records.Seen()
         self.network = f"127.{60 + seed % 40}.{seed // 40 % 250}"
         self.store = platform_store.PlatformStore()
-        store_address = f"{self.network}.200:2391"
         self.vms = [
-            fleet.FleetVm(number, self.network, "ab"[number % 2], store_address, folder)
+            fleet.FleetVm(number, self.network, "ab"[number % 2], folder)
             for number in range(1, VMS + 1)
         ]
         self.load = caller.Load(self.vms, self.seen, self.rng)
@@ -107,27 +109,42 @@
 
 
 async def play(seed: int, seconds: float, folder: pathlib.Path) -> Outcome:
-    """Plays one seed; returns what was seen. Processes and servers are gone afterwards."""
+    """Plays one seed; returns what was seen."""
+
+    async def scenario(world: World) -> Outcome:
+        faults: list[str] = []
+        world.seen.unwell.append((0.0, world.now + SETTLE_S))
+        load = asyncio.ensure_future(world.load.run(RATE_PER_S))
+        try:
+            await _run_faults(world, seconds, faults)
+            await asyncio.sleep(SETTLE_S)
+        finally:
+            load.cancel()
+        statuses = collections.Counter(result.status for result in world.seen.results.values())
+        return Outcome(seed, records.violations(world.seen), statuses, faults)
+
+    return await with_fleet(seed, folder, scenario)
+
+
+async def with_fleet(
+    seed: int, folder: pathlib.Path, scenario: Callable[[World], Awaitable[Result]]
+) -> Result:
+    """Runs a scenario in a fleet that serves; processes and servers are gone afterwards."""
     world = World(seed, folder)
-    await world.store.serve(f"{world.network}.200", 2391)
+    for vm in world.vms:
+        await world.store.serve(vm.store_host, fleet.STORE_PORT)
     for pool in POOLS * SERVERS_A_POOL:
         await world.add_server(pool)
     world.configure()
     tasks = [asyncio.ensure_future(vm.supervise()) for vm in world.vms]
     tasks.append(asyncio.ensure_future(world.load.check_ready()))
-    faults: list[str] = []
     try:
         async with asyncio.timeout(START_S):
             while len(world.load.ready) < VMS:
                 await asyncio.sleep(0.1)
-        world.seen.unwell.append((0.0, world.now + SETTLE_S))
-        tasks.append(asyncio.ensure_future(world.load.run(RATE_PER_S)))
-        await _run_faults(world, seconds, faults)
-        await asyncio.sleep(SETTLE_S)
+        return await scenario(world)
     finally:
         await _stop(world, tasks)
-    statuses = collections.Counter(result.status for result in world.seen.results.values())
-    return Outcome(seed, records.violations(world.seen), statuses, faults)
 
 
 async def _run_faults(world: World, seconds: float, faults: list[str]) -> None:
@@ -186,17 +203,19 @@
 
 async def _store_fault(world: World) -> None:
     since = world.now
-    kind = world.rng.choice(["down", "busy", "slow", "lose", "forget", "some"])
-    hosts = {vm.host for vm in world.rng.sample(world.vms, VMS // 2)}
+    kind = world.rng.choice(["down", "busy", "slow", "lose", "forget", "some", "silent"])
+    hosts = {vm.store_host for vm in world.rng.sample(world.vms, VMS // 2)}
     world.store.down, world.store.busy = kind == "down", kind == "busy"
     world.store.slow_s = 0.3 if kind == "slow" else 0.0
     world.store.lose_replies = 5 if kind == "lose" else 0
     world.store.refused = hosts if kind == "some" else set()
+    world.store.silent = hosts if kind == "silent" else set()
     if kind == "forget":
         world.store.forget_history()
     await asyncio.sleep(world.rng.uniform(1.0, 5.0))
     world.store.down = world.store.busy = False
-    world.store.slow_s, world.store.lose_replies, world.store.refused = 0.0, 0, set()
+    world.store.slow_s, world.store.lose_replies = 0.0, 0
+    world.store.refused, world.store.silent = set(), set()
     world.unwell(since)
 
 
--- a/standins/http_server.py
+++ b/standins/http_server.py
@@ -20,14 +20,14 @@
 
 @dataclasses.dataclass
 class Request:
-    """A complete request; ``peer`` is the client's host."""
+    """A complete request; ``local`` is the host at which the client reached the server."""
 
     method: str
     path: str
     query: str
     headers: dict[str, str]
     body: bytes
-    peer: str
+    local: str
 
 
 @dataclasses.dataclass
@@ -79,9 +79,9 @@
     def _request(self) -> Request:
         path, _, query = self._head.target.decode().partition("?")
         fields = {name.decode(): value.decode() for name, value in self._head.headers}
-        peer = self._transport.get_extra_info("peername")[0]
+        local = self._transport.get_extra_info("sockname")[0]
         body = b"".join(self._body)
-        return Request(self._head.method.decode(), path, query, fields, body, peer)
+        return Request(self._head.method.decode(), path, query, fields, body, local)
 
     async def _run(self, req: Request) -> None:
         res = await self._answer(req)
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -8,7 +8,9 @@
     store.down = True                        # calls get no answer
 
 Faults: ``down`` (no answer), ``busy`` (503), ``slow_s``, ``lose_replies`` (the next writes are done
-and not answered), ``forget_history`` (watches get 410), ``refused`` (hosts that get 503).
+and not answered), ``forget_history`` (watches get 410). A store can serve at several hosts, as all
+clients on loopback have the same address; ``refused`` and ``silent`` name those of its hosts at which
+calls get 503 or no answer.
 """
 
 import asyncio
@@ -34,20 +36,24 @@
         self.slow_s = 0.0
         self.lose_replies = 0
         self.refused: set[str] = set()
+        self.silent: set[str] = set()
         self.calls: collections.Counter[str] = collections.Counter()
         self._events: collections.deque[dict] = collections.deque(maxlen=HISTORY)
         self._oldest = 1
         self._leases: dict[int, tuple[float, float]] = {}
         self._changed = asyncio.Event()
-        self._server: asyncio.Server | None = None
+        self._servers: list[asyncio.Server] = []
+        self._expiry: asyncio.Task | None = None
 
     async def serve(self, host: str, port: int) -> None:
-        self._server = await http_server.serve(self._answer, host, port)
-        self._expiry = asyncio.ensure_future(self._expire())
+        self._servers.append(await http_server.serve(self._answer, host, port))
+        if self._expiry is None:
+            self._expiry = asyncio.ensure_future(self._expire())
 
     def close(self) -> None:
         self._expiry.cancel()
-        self._server.close()
+        for server in self._servers:
+            server.close()
 
     def put(self, key: str, value: bytes, lease: int = 0) -> int:
         self.revision += 1
@@ -97,19 +103,24 @@
     async def _answer(self, req: http_server.Request) -> http_server.Response:
         self.calls[req.path] += 1
         await asyncio.sleep(self.slow_s)
-        if self.down:
-            await asyncio.sleep(3600)
-        if self.busy or req.peer in self.refused:
+        await self._hold_if_silent(req)
+        if self.busy or req.local in self.refused:
             return http_server.Response(503)
         query = dict(urllib.parse.parse_qsl(req.query))
         name = (req.method, "/".join(req.path.split("/")[:3]))
         status, body = await _CALLS[name](self, req, query)
+        await self._hold_if_silent(req)
         if req.method != "GET" and self.lose_replies:
             self.lose_replies -= 1
             return http_server.Response(0)
         raw = b"" if body is None else json.dumps(body).encode()
         return http_server.Response(status, [("Content-Type", "application/json")], raw)
 
+    async def _hold_if_silent(self, req: http_server.Request) -> None:
+        """Keeps a call unanswered, also one that was waiting when the fault began."""
+        if self.down or req.local in self.silent:
+            await asyncio.sleep(3600)
+
     async def _key(self, req, query):
         item = self.items.get(query["key"])
         return (200, {**item, "current-rev": self.revision}) if item else (404, None)
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -99,3 +99,16 @@
     spoiled = fleetmodel.Record("servers/i-1", 3, b"\xff")
     report = known.update([spoiled, other], trusted=True, now=1.0)
     assert (ids(known), report.unreadable) == (["i-2"], ("servers/i-1",))
+
+
+@pytest.mark.parametrize(
+    ("state", "expected"),
+    [(models.ServerState.LEAVING, True), (models.ServerState.ACTIVE, False)],
+)
+def test_a_server_that_begins_to_leave_is_reported_as_withdrawn(known, found, state, expected):
+    """Guards against a leaving server that VMs far from the store use for seconds."""
+    record = found.record(instance(sequence=2, state=state), b"2")
+    assert known.update([record], trusted=True, now=1.0).withdrawn is expected
+    again = found.record(instance(sequence=3, state=state), b"3")
+    assert not known.update([again], trusted=True, now=1.5).withdrawn
+    assert known.update([GONE], trusted=True, now=2.0).withdrawn is not expected
--- a/tests/test_watch_role.py
+++ b/tests/test_watch_role.py
@@ -54,6 +54,19 @@
     assert role.should_watch(silent + watch_role.TAKEOVER_SPREAD_S)
 
 
+def test_a_watcher_that_says_that_it_lost_the_store_is_replaced_at_once():
+    """Guards against a zone that waits for the silence of watchers that were turned away."""
+    role = watch_role.WatchRole("vm-1", 0.0)
+    others = [name for name in NAMES if name != "vm-1"]
+    for other in others:
+        role.heard(other, LATE)
+    role.should_watch(LATE)
+    for other in others:
+        role.lost(other)
+    role.should_watch(LATE + 0.01)
+    assert role.should_watch(LATE + 0.02 + watch_role.TAKEOVER_SPREAD_S)
+
+
 def test_a_starting_vm_listens_first():
     """Guards against a call to the store for each restart."""
     role = watch_role.WatchRole("vm-1", 5.0)
