--- a/dotterelfront/upstream.py
+++ b/dotterelfront/upstream.py
@@ -22,9 +22,10 @@
 """A connection takes 1 ms; one that takes longer meets a partition or a full server."""
 IDLE_S = 8.0
 """Kept connections are used for this long; servers close idle ones after 10 s."""
-IDLE_ONCE_S = 1.0
+IDLE_ONCE_S = 0.2
 """The same for requests that may run only once: a server that closes a connection while a request
-is under way leaves its outcome unknown, and a new connection costs little."""
+is under way leaves its outcome unknown, and a new connection costs little. Some servers forget
+connections that were idle for 0.25 to 0.3 s and reset what is sent next."""
 IDLE_MARGIN_S = 1.0
 """A connection is given up this long before the time that the server announces."""
 MAX_IDLE = 8
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -9,8 +9,8 @@
 
 Faults: ``down`` (no answer), ``busy`` (503), ``slow_s``, ``lose_replies`` (the next writes are done
 and not answered), ``forget_history`` (watches get 410). A store can serve at several hosts, as all
-clients on loopback have the same address; ``refused`` and ``silent`` name those of its hosts at which
-calls get 503 or no answer.
+clients on loopback have the same address; ``refused`` and ``silent`` name those of its hosts at
+which calls get 503 or no answer.
 """
 
 import asyncio
