Pause gray servers after failures in a row; then one request at a time

Change: the second failure in a row pauses a server for 0.2 s, doubled up to 1 s; then it gets one request at a time until it answers two; a server that failed once is used last for 6 s while fewer than a tenth of the shard's requests fail; free slots of suspected servers are not counted as room for new requests.

Ruled out: detection (the owner knows of the first failure within 5 ms); the base rate of errors (90 of 744).

--- a/dotterelfront/gray_server.py
+++ b/dotterelfront/gray_server.py
@@ -6,12 +6,16 @@
 
     suspicion = Suspicion()
     suspicion.failed(server, now=1.0)
-    suspicion.level(server, now=1.1)      # above SUSPECT: use it last
+    suspicion.level(server, now=1.1)      # above SUSPECT: rather wait for another server
     suspicion.answered(server, now=1.2)
 
 The level is the log odds that the server is gray. It returns to the prior by itself, since a gray
 period lasts seconds; a failure right after that has the full weight again, and failures in a row
 lengthen the time.
+
+The second failure in a row pauses the server, and each further one does so for longer. Gray servers
+mostly fail at once, so without a pause one of them drains the whole queue of a shard whose good
+servers are full. A server that fails half of its requests still gets work most of the time.
 """
 
 import math
@@ -32,7 +36,11 @@
 """The distance from the prior halves in this time without observations: a server is used last for
 2.2 s after one failure, as long as a gray period usually lasts, and for 5 s after two."""
 SUSPECT = 0.0
-"""Log odds above which a server is used last."""
+"""Log odds above which requests rather wait for another server."""
+AVOID = math.log(0.18 / 0.82)
+"""Log odds above which a server is used last. A gray period lasts up to eight seconds, and trying a
+server again costs a request that may run only once; avoiding one for 6 s after a failure costs
+nothing while others have free slots."""
 LATE_WEIGHT = 2.0
 """Log likelihood ratio of a request that runs far beyond its usual time: 3% of the requests are
 stragglers, a server that hangs has nothing else. Two late requests make a server suspect."""
@@ -40,9 +48,18 @@
 """A request is late after this many times its route's mean."""
 HOLD_SHARE = 0.25
 HOLD_SHARE_REPEATED = 0.5
+HOLD_SHARE_PROBING = 0.6
 """A request waits for a server that is not suspected for this part of its time; longer when it has
-failed once and may have no further try. Gray servers often fail at once, so that they look idle
-when the good ones are full."""
+failed once and may have no further try, or when the server has failed several times in a row. Gray
+servers often fail at once, so that they look idle when the good ones are full."""
+PAUSE_MIN_S = 0.2
+PAUSE_MAX_S = 1.0
+"""Bounds of the pause after failures in a row; it doubles each time. The longest lets a server that
+has recovered show it within a second, and gives each server a request in any 2 s."""
+PAUSED_FROM = 2
+"""Failures in a row from which a server is paused; a healthy one has single failures."""
+MAX_IN_ROW = 5
+"""Failures in a row that are counted, so that two successes end the trial of one at a time."""
 TRIAL_S = 2.0
 """A suspected server gets a first try of a request that may be repeated this often. More tries use
 up the budget of repeated sends: two gray servers of six took half of it at 0.5 s."""
@@ -54,6 +71,9 @@
     at: float = 0.0
     used: float = 0.0
     """When the server last got a request."""
+    in_row: int = 0
+    """Failures in a row; a success halves it, since a gray server answers one in ten."""
+    paused_until: float = 0.0
 
 
 class Suspicion:
@@ -69,12 +89,34 @@
     def suspect(self, server: models.ServerId, now: float) -> bool:
         return server in self._levels and self.level(server, now) > SUSPECT
 
+    def paused(self, server: models.ServerId, now: float) -> bool:
+        """Whether the server gets nothing at all for the moment."""
+        found = self._levels.get(server)
+        return found is not None and now < found.paused_until
+
+    def avoided(self, server: models.ServerId, now: float) -> bool:
+        """Whether other servers with a free slot go first."""
+        return server in self._levels and self.level(server, now) > AVOID
+
+    def probing(self, server: models.ServerId) -> bool:
+        """Whether the server gets one request at a time until it answers two.
+
+        All its slots are free when a pause ends; without this, as many requests fail together.
+        """
+        found = self._levels.get(server)
+        return found is not None and found.in_row >= PAUSED_FROM
+
     def failed(self, server: models.ServerId, now: float) -> None:
-        self._observe(server, FAILURE_WEIGHT, now)
+        found = self._observe(server, FAILURE_WEIGHT, now)
+        if now >= found.paused_until:
+            # Requests in flight when a pause begins fail together with the one that began it.
+            found.in_row = min(found.in_row + 1, MAX_IN_ROW)
+            found.paused_until = now + _pause_s(found.in_row)
 
     def answered(self, server: models.ServerId, now: float) -> None:
         if server in self._levels:
-            self._observe(server, SUCCESS_WEIGHT, now)
+            found = self._observe(server, SUCCESS_WEIGHT, now)
+            found.in_row //= 2
 
     def late(self, server: models.ServerId, now: float) -> None:
         """Records a request that has run far beyond its usual time and is not finished."""
@@ -96,11 +138,18 @@
         for server in self._levels.keys() - servers:
             del self._levels[server]
 
-    def _observe(self, server: models.ServerId, weight: float, now: float) -> None:
+    def _observe(self, server: models.ServerId, weight: float, now: float) -> _Level:
         value = min(MAX_LEVEL - PRIOR, max(0.0, self._distance(server, now) + weight))
-        held = self._levels.get(server)
-        self._levels[server] = _Level(value, now, held.used if held else now)
+        found = self._levels.setdefault(server, _Level(used=now))
+        found.value, found.at = value, now
+        return found
 
     def _distance(self, server: models.ServerId, now: float) -> float:
         found = self._levels.get(server)
         return found.value * 0.5 ** ((now - found.at) / HALF_LIFE_S) if found else 0.0
+
+
+def _pause_s(in_row: int) -> float:
+    if in_row < PAUSED_FROM:
+        return 0.0
+    return min(PAUSE_MAX_S, PAUSE_MIN_S * 2 ** (in_row - PAUSED_FROM))
--- a/dotterelfront/pools.py
+++ b/dotterelfront/pools.py
@@ -35,6 +35,11 @@
 """A request is overdue after this many times the 95th percentile of its route."""
 OVERDUE_CAP = 0.25
 """A route with overdue requests on this share of the slots is treated as long."""
+FAILING_SHARE = 0.1
+"""Part of the recent requests whose failure makes a shard use all servers that are not suspected:
+with many failures the avoided servers would leave too few for the rest."""
+FAILING_REQUESTS = 16
+"""Requests over which that part is averaged."""
 GRANT_RATE_S = 1.0
 """Time constant of the slot time granted to each class."""
 
@@ -144,6 +149,8 @@
         self._platform_leaving: frozenset[models.ServerId] = frozenset()
         self._signalled_leaving: set[models.ServerId] = set()
         self._full = False
+        self._failing = 0.0
+        """Part of the recent requests that were not answered."""
         self._next_attempt = 1
         self._effects: list[Effect] = []
         self._last_tick = now
@@ -154,7 +161,7 @@
     def submit(self, ticket: queueing.Ticket, now: float, wait: bool = True) -> list[Effect]:
         """Queues a request, or refuses it at once when it cannot finish in time.
 
-        Without ``wait`` it gets a free slot of a server that is not suspected, or is refused.
+        Without ``wait`` a request is refused unless a server that is not suspected has a free slot.
         """
         self.counters["submitted"] += 1
         if not wait and not self._has_room(ticket, now):
@@ -192,6 +199,9 @@
         if result in TIMED_RESULTS:
             self._times.observe(attempt.route, now - attempt.started, now)
         self._note_shedding(attempt.server, result, now)
+        if result is not health.AttemptResult.CANCELLED:
+            bad = result is not health.AttemptResult.ANSWERED
+            self._failing += (bad - self._failing) / FAILING_REQUESTS
         if requeue and (running.ticket.idempotent or result in NOT_RUN_RESULTS):
             self._requeue(running.ticket, now)
         try:
@@ -446,15 +456,14 @@
             busy = self._busy[address]
             if busy >= server.slots:
                 continue
-            if self.shedding.paused(address, now):
+            if self.shedding.paused(address, now) or self._suspicion.paused(address, now):
                 continue
             usable = self._usable(server, now)
             if busy >= usable or not self.health.eligible(address, idempotent, now):
                 continue
-            suspect = self._suspicion.suspect(address, now)
             rank = (
                 address in ticket.avoid,
-                self._suspicion.level(address, now) if suspect else 0.0,
+                self._suspicion_rank(address, now),
                 self.health.penalty(address, now),
                 busy / usable,
             )
@@ -466,6 +475,13 @@
                     best = address
         return best
 
+    def _suspicion_rank(self, address: models.ServerId, now: float) -> float:
+        """Returns 0 for a server that may be used like others, more the likelier it is gray."""
+        if self._suspicion.suspect(address, now):
+            return 1.0 + self._suspicion.level(address, now)
+        spread = self._failing > FAILING_SHARE
+        return 0.5 if not spread and self._suspicion.avoided(address, now) else 0.0
+
     def _holds(self, ticket: queueing.Ticket, server: models.ServerId, now: float) -> bool:
         """Whether a ticket rather waits for a server that is not suspected."""
         if not self._suspicion.suspect(server, now) or self._all_suspect(now):
@@ -474,6 +490,8 @@
         if first and ticket.idempotent and self._suspicion.trial_due(server, now):
             return False
         share = gray_server.HOLD_SHARE if first else gray_server.HOLD_SHARE_REPEATED
+        if self._suspicion.probing(server):
+            share = gray_server.HOLD_SHARE_PROBING
         return now < ticket.enqueued + share * (ticket.deadline - ticket.enqueued)
 
     def _all_suspect(self, now: float) -> bool:
@@ -481,6 +499,8 @@
 
     def _usable(self, server: models.Server, now: float) -> int:
         address = server.address
+        if self._suspicion.probing(address):
+            return 1
         share = self.health.slot_share(address, now) * self.shedding.share(address, now)
         return max(1, int(server.slots * share / self._slot_divisor + 1e-9))
 
@@ -496,9 +516,13 @@
         )
 
     def _measure_good_slots(self, now: float) -> int:
-        """Returns the part of the capacity that is not on suspected servers."""
+        """Returns the part of the capacity that is not on suspected servers.
+
+        With suspected servers only, it is the part of those that are not paused.
+        """
         if self._all_suspect(now):
-            return self._capacity
+            unpaused = (s for a, s in self._active.items() if not self._suspicion.paused(a, now))
+            return max(1, sum(self._usable(server, now) for server in unpaused))
         suspected = sum(
             self._usable(server, now)
             for address, server in self._active.items()
@@ -572,7 +596,7 @@
     def _expected(self, ticket: queueing.Ticket, cost: float, long: bool, now: float) -> float:
         """Returns the time in seconds until a new ticket should be finished."""
         service = self._service(ticket.route, now)
-        free = len(self._in_flight) < self._capacity
+        free = len(self._in_flight) < self._good_slots
         if free and (not long or (not self._queue and self._slow < self._long_limit)):
             return service
         drain = max(1, self._good_slots - self._overdue.total())
--- a/tests/test_gray_server.py
+++ b/tests/test_gray_server.py
@@ -104,3 +104,98 @@
     assert not suspicion.suspect(SERVER, 0.0)
     suspicion.late(SERVER, 0.1)
     assert suspicion.suspect(SERVER, 0.1)
+
+
+def fail_all(shard, seconds, step_s=0.01):
+    """Lets the suspect fail each request at once while the good server is full; counts them."""
+    failed, now = 0, 0.0
+    while now < seconds:
+        now += step_s
+        for effect in shard.tick(now):
+            if isinstance(effect, pools.Grant) and effect.server == SERVER:
+                failed += 1
+                shard._suspicion.failed(SERVER, now)
+                shard.complete(effect.attempt_id, health.AttemptResult.SERVER_ERROR, now)
+    return failed
+
+
+def test_a_gray_server_does_not_drain_the_queue_of_full_good_servers():
+    """Guards against a crest in which all that waits is failed by the one server that has room."""
+    shard = make_shard([SERVER])
+    for number in range(1, 81):
+        shard.submit(make_ticket(number, idempotent=False), 0.0)
+    hold_s = 8.0 * gray_server.HOLD_SHARE_PROBING
+    assert 1 <= fail_all(shard, hold_s + 3.0) <= 3.0 / gray_server.PAUSE_MAX_S + 4
+
+
+def test_a_server_that_answers_between_failures_is_paused_only_briefly():
+    """Guards against a server that fails half of its requests and is lost as capacity."""
+    suspicion = gray_server.Suspicion()
+    for second in range(4):
+        suspicion.failed(SERVER, float(second))
+        suspicion.failed(SERVER, float(second))
+        assert suspicion.paused(SERVER, second + gray_server.PAUSE_MIN_S / 2)
+        assert not suspicion.paused(SERVER, second + gray_server.PAUSE_MIN_S)
+        suspicion.answered(SERVER, second + 0.5)
+
+
+def test_free_slots_of_a_suspect_promise_nothing_to_new_requests():
+    """Guards against requests that are let in and refused when most of their time is over."""
+    shard = make_shard([SERVER])
+    for number in range(60):
+        [grant] = shard.submit(make_ticket(number, enqueued=float(number)), float(number))
+        shard.complete(grant.attempt_id, health.AttemptResult.ANSWERED, number + 0.9)
+        shard._suspicion.failed(SERVER, number + 0.9)
+        shard.tick(number + 0.9)
+    effects = [shard.submit(make_ticket(100 + n, enqueued=60.0), 60.0) for n in range(20)]
+    refused = [found for found in effects if found and isinstance(found[0], pools.Refuse)]
+    assert len(refused) >= 10
+
+
+def use(shard, now, result=health.AttemptResult.ANSWERED, number=1):
+    """Sends one order through the shard; returns the server that got it."""
+    [grant] = shard.submit(make_ticket(number, enqueued=now), now)
+    shard.complete(grant.attempt_id, result, now)
+    return grant.server
+
+
+def test_a_server_that_failed_is_used_last_as_long_as_a_gray_period_lasts():
+    """Guards against an order that is spent every two seconds on a server that is still gray."""
+    shard = make_shard([SERVER])
+    assert {use(shard, second / 10, number=second) for second in range(1, 60)} == {OTHER}
+    assert SERVER in {use(shard, 7.0 + second / 10, number=second) for second in range(20)}
+
+
+def test_many_failures_make_a_shard_use_all_servers_that_are_not_suspected():
+    """Guards against avoided servers that leave a pool with too few while much of it fails."""
+    shard = make_shard([SERVER])
+    for number in range(8):
+        use(shard, 3.0, health.AttemptResult.TIMEOUT, number)
+    assert SERVER in {use(shard, 3.1, health.AttemptResult.TIMEOUT, number) for number in range(9)}
+
+
+def test_the_end_of_a_pause_risks_one_request():
+    """Guards against as many failures at the end of each pause as the server has slots."""
+    servers = (models.Server(SERVER, "a", 6),)
+    suspicion = gray_server.Suspicion()
+    pool = models.Pool("p", servers, floor=0, warmup_s=0.0)
+    shard = pools.PoolShard(pool, servers, 0.0, rng=random.Random(1), suspicion=suspicion)
+    for _ in range(gray_server.PAUSED_FROM):
+        suspicion.failed(SERVER, 0.0)
+    for number in range(6):
+        shard.submit(make_ticket(number), 0.0)
+    [grant] = shard.tick(gray_server.PAUSE_MIN_S + 0.01)
+    suspicion.answered(SERVER, 0.3)
+    assert len(shard.complete(grant.attempt_id, health.AttemptResult.ANSWERED, 0.3)) == 5
+
+
+def test_one_success_does_not_open_a_gray_server_to_all_that_waits():
+    """Guards against a server that answers one request in ten and then fails as many as it has
+    slots."""
+    suspicion = gray_server.Suspicion()
+    for number in range(20):
+        suspicion.failed(SERVER, number * 1.5)
+    suspicion.answered(SERVER, 30.0)
+    assert suspicion.probing(SERVER)
+    suspicion.answered(SERVER, 30.1)
+    assert not suspicion.probing(SERVER)
