Wait in the own zone for a quarter of the objective before crossing zones

Cause: a request looked at other zones at once when the expected wait in its own was over 0.1 s.

Change: the limit follows the request's objective: a quarter of the time until it, if the owner expects a slot by then. Test: the same expected wait is borne with an objective of 4 s and not with one of 1 s.

--- a/dotterelfront/relay.py
+++ b/dotterelfront/relay.py
@@ -45,7 +45,7 @@
     """A caller's request. ``arrived`` is on the event loop's clock.
 
     ``committed`` is set while a request that must not be broken off is at a server, ``left`` once
-    the caller has closed its connection.
+    the caller has closed its connection. ``route`` is the name of the route that was found.
     """
 
     head: headers.RequestHead
@@ -53,6 +53,7 @@
     arrived: float
     committed: bool = False
     left: bool = False
+    route: str = ""
 
 
 class Answer(msgspec.Struct):
@@ -110,6 +111,7 @@
     """What has happened to one request so far. ``ran`` is false while it has not run anywhere."""
 
     ends: float
+    target: float
     sends: int = 0
     connects: int = 0
     ran: bool = False
@@ -147,9 +149,10 @@
         route = self._routes.match(call.head.host, call.head.method, call.head.path)
         if route is None:
             raise errors.NoRouteError("no route matches")
+        call.route = route.name
         left_s = wire.time_left_s(call.head.fields)
         limit_s = route.timeout_s if left_s is None else min(left_s, route.timeout_s)
-        progress = _Progress(ends=call.arrived + limit_s)
+        progress = _Progress(call.arrived + limit_s, call.arrived + route.objective_s)
         pool = self._choose_pool(route)
         req = _upstream_request(call, route)
         while True:
@@ -240,6 +243,7 @@
             ends=progress.ends,
             repeat=progress.sends > 0,
             avoid=(*progress.avoid, *self._unreached_now()),
+            target=progress.target,
         )
 
     def _unreached_now(self) -> list[models.ServerId]:
--- a/dotterelfront/slot_client.py
+++ b/dotterelfront/slot_client.py
@@ -13,6 +13,7 @@
 
 import asyncio
 import itertools
+import math
 import random
 from collections.abc import Callable, Sequence
 
@@ -25,10 +26,10 @@
 the next owner is asked sooner."""
 ASK_AGAIN_S = 0.5
 """A waiting request asks its owner this often whether it still waits there."""
-SPILL_WAIT_S = 0.1
-SPILL_AFTER_S = 0.15
-"""With a shorter wait than the first in its own zone, a request looks at other zones only after
-the second. A request that crosses zones costs up to a quarter of its worth, this wait little."""
+SPILL_SHARE = 0.25
+"""A request waits in its own zone for this part of the time until its target, if a slot is expected
+by then, before it looks at other zones. A request that crosses zones costs up to a quarter of its
+worth, a wait that does not make it late costs nothing."""
 POLL_S = 0.2
 """A waiting request looks this often for a free slot in other zones."""
 CALLS_A_MILLISECOND = 1_000
@@ -41,7 +42,7 @@
 
 
 class Need(msgspec.Struct, frozen=True):
-    """What a request needs; ``ends`` is on the event loop's clock."""
+    """What a request needs; ``ends`` and ``target`` are on the event loop's clock."""
 
     pool: models.PoolName
     route: models.RouteName
@@ -50,6 +51,8 @@
     ends: float
     repeat: bool = False
     avoid: tuple[models.ServerId, ...] = ()
+    target: float = math.inf
+    """Until when a response is of full use."""
 
 
 class Lease(msgspec.Struct):
@@ -108,13 +111,15 @@
         if not zones:
             raise errors.OverloadedError("the pool has no server", NO_SERVER_RETRY_S)
         found = await self._ask_zone(need, zones[0], wait=False)
-        short = _short_wait(found)
+        left_s = min(need.target, need.ends) - asyncio.get_running_loop().time()
+        spill_s = SPILL_SHARE * max(0.0, left_s)
+        short = _short_wait(found, spill_s)
         if not short and not isinstance(found, Lease):
             found = await self._first_free(need, zones[1:]) or found
         if isinstance(found, Lease):
             return found
         if not (need.repeat and found is not None and found.reason is not NO_ROOM):
-            found = await self._wait(need, zones, SPILL_AFTER_S if short else POLL_S) or found
+            found = await self._wait(need, zones, spill_s if short else POLL_S) or found
         if isinstance(found, Lease):
             return found
         raise errors.OverloadedError(
@@ -174,7 +179,7 @@
         loop = asyncio.get_running_loop()
         call_id = next(self._ids)
         replies = self._replies[call_id] = asyncio.Queue()
-        request = self._request(need, zone, call_id, need.ends - loop.time(), wait)
+        request = self._request(need, zone, call_id, loop.time(), wait)
         settled = False
         try:
             while True:
@@ -206,7 +211,7 @@
             raise errors.PeerLostError("no reply from the owner of the slots") from exc
 
     def _request(
-        self, need: Need, zone: models.ZoneName, call_id: int, left_s: float, wait: bool
+        self, need: Need, zone: models.ZoneName, call_id: int, now: float, wait: bool
     ) -> fleet_messages.SlotRequest:
         return fleet_messages.SlotRequest(
             sender=self._vm.id,
@@ -217,7 +222,7 @@
             route=need.route,
             priority=need.priority,
             idempotent=need.idempotent,
-            left_s=left_s,
+            left_s=need.ends - now,
             wait=wait,
             repeat=need.repeat,
             avoid=need.avoid,
@@ -230,12 +235,12 @@
         self._send(owner, fleet_messages.SlotRelease(self._vm.id, call_id, result))
 
 
-def _short_wait(found: object) -> bool:
+def _short_wait(found: object, limit_s: float) -> bool:
     """Whether a zone without a free slot should soon have one."""
     return (
         isinstance(found, fleet_messages.SlotRefusal)
         and found.reason is NO_ROOM
-        and found.wait_s <= SPILL_WAIT_S
+        and found.wait_s <= limit_s
     )
 
 
--- a/tests/test_slot_client.py
+++ b/tests/test_slot_client.py
@@ -17,11 +17,13 @@
 class Fleet:
     """Owners of two zones; ``script`` maps an owner to its replies, none for silence."""
 
-    def __init__(self, monkeypatch, script, zones=("b", "a"), poll_s=9.0, incarnation=0):
+    def __init__(
+        self, monkeypatch, script, zones=("b", "a"), poll_s=9.0, incarnation=0, target_s=1.0
+    ):
         monkeypatch.setattr(slot_client, "REPLY_TIMEOUT_S", 0.0)
         monkeypatch.setattr(slot_client, "ASK_AGAIN_S", 0.0)
         monkeypatch.setattr(slot_client, "POLL_S", poll_s)
-        monkeypatch.setattr(slot_client, "SPILL_AFTER_S", poll_s)
+        self.target_s = target_s
         self.script = {name: list(replies) for name, replies in script.items()}
         self.sent, self.unreachable = [], []
         topology = slot_client.Topology(
@@ -39,8 +41,10 @@
 
     def acquire(self):
         async def play():
-            ends = asyncio.get_running_loop().time() + 5.0
-            need = slot_client.Need("orders", "r", models.Priority.NORMAL, True, ends)
+            now = asyncio.get_running_loop().time()
+            need = slot_client.Need(
+                "orders", "r", models.Priority.NORMAL, True, now + 5.0, target=now + self.target_s
+            )
             lease = await self.client.acquire(need)
             lease.release(health.AttemptResult.ANSWERED)
             return lease
@@ -95,10 +99,17 @@
     assert ("b1", False) not in fleet.asked
 
 
+@pytest.mark.parametrize(("target_s", "server"), [(4.0, "i-1"), (1.0, "i-2")])
+def test_how_long_a_request_waits_in_its_own_zone_follows_its_target(monkeypatch, target_s, server):
+    """Guards against bodies that cross zones although the wait makes no response late."""
+    script = {"a1": [NO_ROOM, "waiting", "i-1"], "b1": ["i-2"]}
+    assert Fleet(monkeypatch, script, target_s=target_s).acquire().server == server
+
+
 def test_a_short_wait_that_lasts_ends_in_another_zone(monkeypatch):
     """Guards against requests that wait on an estimate that was wrong."""
-    script = {"a1": ["short wait"] + ["waiting"] * 50, "b1": ["i-2"]}
-    assert Fleet(monkeypatch, script, poll_s=0.0).acquire().server == "i-2"
+    script = {"a1": ["short wait"] + ["waiting"] * 50_000, "b1": ["i-2"]}
+    assert Fleet(monkeypatch, script, target_s=0.24).acquire().server == "i-2"
 
 
 def test_without_room_anywhere_the_request_waits_in_its_own_zone(monkeypatch):
