Serve metrics of a VM; adopt changed settings with and without a signal

Each VM serves values and a histogram of durations at port 9464. SIGHUP only checked the settings file until now: limits, zones and seeds are now adopted, and a file that changes without a signal is read within 5 s. A faulty file leaves the old settings in force.

--- a/dotterelfront/gateway.py
+++ b/dotterelfront/gateway.py
@@ -36,6 +36,8 @@
 
 
 Handler = Callable[[relay.Call], Awaitable[relay.Answer]]
+Observer = Callable[[str, str, int, float], None]
+"""Takes route, method, status and duration in seconds of an answered request."""
 
 
 class _Pending(msgspec.Struct):
@@ -50,8 +52,14 @@
 class Gateway:
     """All callers' connections of one VM."""
 
-    def __init__(self, handle: Handler, timeouts: Callable[[], Timeouts] = Timeouts):
+    def __init__(
+        self,
+        handle: Handler,
+        timeouts: Callable[[], Timeouts] = Timeouts,
+        observe: Observer = lambda *request: None,
+    ):
         self.handle = handle
+        self.observe = observe
         self.timeouts = timeouts
         self.leaving = False
         self.connections: set[Connection] = set()
@@ -182,7 +190,10 @@
             self._reader.feed(rest)
 
     async def _run(self, pending: _Pending) -> None:
-        pending.answer = await answered(self._gateway.handle, pending.call)
+        call = pending.call
+        pending.answer = await answered(self._gateway.handle, call)
+        duration_s = self._loop.time() - call.arrived
+        self._gateway.observe(call.route, call.head.method, pending.answer.status, duration_s)
         self._flush()
 
     def _refuse(self, exc: errors.RequestError) -> None:
--- a/dotterelfront/metrics.py
+++ b/dotterelfront/metrics.py
@@ -12,7 +12,7 @@
 
 import collections
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import prometheus_client
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
@@ -92,6 +92,25 @@
 
         self._meter.create_observable_gauge(f"dotterelfront.{name}", [observe], "", description)
 
+    def add_values(
+        self,
+        name: str,
+        description: str,
+        label: str,
+        read: Callable[[], Mapping[str, float]],
+        monotonic: bool,
+    ) -> None:
+        """Registers values by one label that are read at each scrape."""
+
+        def observe(options: CallbackOptions):
+            for value_of_label, value in list(read().items()):
+                yield Observation(value, {label: value_of_label})
+
+        create = self._meter.create_observable_counter
+        if not monotonic:
+            create = self._meter.create_observable_gauge
+        create(f"dotterelfront.{name}", [observe], "", description)
+
     def flush(self) -> None:
         """Records the buffered durations."""
         for _ in range(len(self._durations)):
--- a/dotterelfront/node.py
+++ b/dotterelfront/node.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections
 import os
 import random
 import signal
@@ -23,6 +24,7 @@
     logs,
     mesh,
     models,
+    node_metrics,
     notices,
     relay,
     slot_client,
@@ -54,6 +56,12 @@
 """The balancer takes a VM out after two checks, one a second, that fail."""
 EXIT_MARGIN_S = 0.4
 """Time between the last answer and the platform's SIGKILL."""
+SETTINGS_CHECK_S = 5.0
+"""Interval of checks whether the settings file has changed; it changes rarely, and a check is one
+system call."""
+METRICS_PORT = 9464
+METRICS_PATH = "/metrics"
+"""Where the deploy file says that metrics are read; the port that OpenTelemetry uses for it."""
 BACKLOG = 512
 """Connections that wait to be accepted; a burst after a restart brings a zone's callers at once."""
 RETRY_RATIO_SHARE = 0.85
@@ -93,7 +101,11 @@
         self._relay = relay.Relay(
             self._slots, self._view.catalog.get, self._upstream, seed=incarnation
         )
-        self._gateway = gateway.Gateway(self._relay.handle, self._timeouts)
+        self._metrics = node_metrics.NodeMetrics(cfg.vm_id, self._metric_sources())
+        self._gateway = gateway.Gateway(
+            self._relay.handle, self._timeouts, observe=self._metrics.observe
+        )
+        self._scrapes = gateway.Gateway(self._answer_scrape)
         self._ready = gateway.Gateway(self._answer_ready)
         self._leaving = asyncio.Event()
         self._owner_busy = asyncio.Event()
@@ -108,6 +120,7 @@
         self._mesh.listen()
         ready = await self._listen(self._ready, self._cfg.ready_address)
         front = await self._listen(self._gateway, self._cfg.http_address)
+        scrapes = await self._listen(self._scrapes, f"{self._cfg.address}:{METRICS_PORT}")
         for job in (
             self._mesh.run,
             self._follower.run,
@@ -117,11 +130,13 @@
             self._beat,
             self._ping,
             self._keep_record,
+            self._check_settings,
         ):
             self._start(job())
         logs.event("started", address=self._cfg.http_address)
         await self._leaving.wait()
         await self._leave(front)
+        scrapes.close()
         ready.close()
 
     # Start and end
@@ -166,12 +181,14 @@
         logs.event("stopped")
 
     def _reload(self) -> None:
-        """Checks the changed settings file; addresses and identity hold until a restart."""
+        """Adopts the changed settings file; a faulty one leaves the old settings in force."""
         try:
-            boot.load(self._settings_path)
-            logs.event("settings read again")
+            self._cfg = boot.reloaded(self._cfg, self._settings_path)
         except errors.ConfigurationError as exc:
             logs.event("settings rejected", level="WARNING", error=str(exc))
+            return
+        self._owner.set_limits(self._limits())
+        logs.event("settings read again")
 
     # Periodic work
 
@@ -201,6 +218,16 @@
             report = self._view.catalog.expire_lapsed(well_since, now)
             self._set_servers(report.pools)
 
+    async def _check_settings(self) -> None:
+        """Reads the settings again when their file changes without a signal."""
+        seen = _version_of(self._settings_path)
+        while True:
+            await asyncio.sleep(SETTINGS_CHECK_S)
+            found = _version_of(self._settings_path)
+            if found != seen:
+                seen = found
+                self._reload()
+
     async def _beat(self) -> None:
         """Tells the VMs of the zone that this one watches the store for them, and when it ends."""
         told = False
@@ -422,6 +449,52 @@
         )
         return relay.Answer(200 if ready else 503, [])
 
+    # Metrics
+
+    async def _answer_scrape(self, call: relay.Call) -> relay.Answer:
+        if call.head.path != METRICS_PATH:
+            raise errors.NoRouteError("only metrics are served here")
+        return relay.Answer(
+            200, [("Content-Type", "text/plain; version=0.0.4")], await self._metrics.text()
+        )
+
+    def _metric_sources(self) -> list[node_metrics.Source]:
+        source = node_metrics.Source
+        return [
+            source("answers", "Answers to callers", "status", self._read_answers),
+            source("mesh_messages", "Messages between VMs", "event", lambda: self._mesh.counters),
+            source("shard_events", "Decisions of this VM's shards", "event", self._read_decisions),
+            source("shards", "Requests in this VM's shards", "state", self._read_shards, False),
+            source("state", "What this VM has", "of", self._read_state, False),
+        ]
+
+    def _read_answers(self) -> dict[str, int]:
+        return {str(status): count for status, count in self._gateway.counters.items()}
+
+    def _read_decisions(self) -> collections.Counter[str]:
+        found: collections.Counter[str] = collections.Counter()
+        for snapshot in self._owner.snapshots(self._loop.time()):
+            found.update(snapshot.counters)
+        return found
+
+    def _read_shards(self) -> dict[str, int]:
+        found = self._owner.snapshots(self._loop.time())
+        return {
+            "queued": sum(sum(snapshot.queued.values()) for snapshot in found),
+            "in-flight": sum(snapshot.in_flight for snapshot in found),
+            "slots": sum(snapshot.slots for snapshot in found),
+        }
+
+    def _read_state(self) -> dict[str, float]:
+        config = self._view.config
+        return {
+            "configuration-revision": config.revision if config else 0,
+            "records-revision": self._follower.copy.revision,
+            "watching": int(self._watches()),
+            "store-well-seconds": self._store_state.own_well_s(self._loop.time()) or 0.0,
+            "connections": len(self._gateway.connections),
+        }
+
 
 _HANDLERS = {
     fleet_messages.SlotRequest: Node._on_slot_request,
@@ -436,6 +509,16 @@
 }
 
 
+def _version_of(path: str) -> tuple[int, int]:
+    """Returns what tells versions of a file apart; zeros while there is no file."""
+    try:
+        found = os.stat(path)
+    except OSError as exc:
+        logs.event("settings file missing", level="WARNING", error=exc.strerror)
+        return 0, 0
+    return found.st_mtime_ns, found.st_size
+
+
 async def _run(cfg: boot.Settings, path: str) -> None:
     await Node(cfg, path).run()
 
--- a/dotterelfront/platform/boot.py
+++ b/dotterelfront/platform/boot.py
@@ -70,6 +70,15 @@
         )
 
 
+def reloaded(cfg: Settings, path: str) -> Settings:
+    """Reads the file again and returns the settings with what a running VM adopts.
+
+    Addresses and identity hold until a restart. Raises ``errors.ConfigurationError``.
+    """
+    found = load(path)
+    return msgspec.structs.replace(cfg, limits=found.limits, zones=found.zones, seeds=found.seeds)
+
+
 def bounds(limits: dict[str, str | float | bool]) -> Bounds:
     """Reads the limits by their platform names; names that are not known are ignored."""
     found = {}
--- a/dotterelfront/retries.py
+++ b/dotterelfront/retries.py
@@ -27,11 +27,15 @@
         refill_per_s: float = 0.0,
         now: float = 0.0,
     ):
+        self.configure(ratio, burst, refill_per_s)
+        self._refilled = now
+        self._available = 0.0 if refill_per_s else burst
+
+    def configure(self, ratio: float, burst: float, refill_per_s: float) -> None:
+        """Changes the limits; what is available stays, up to the new burst at the next event."""
         self._ratio = ratio
         self._burst = burst
         self._refill_per_s = refill_per_s
-        self._refilled = now
-        self._available = 0.0 if refill_per_s else burst
 
     def advance(self, now: float) -> None:
         """Adds what the time since the last call brings."""
--- a/dotterelfront/slot_owner.py
+++ b/dotterelfront/slot_owner.py
@@ -63,6 +63,10 @@
     retry_burst: float
     window_s: float = 10.0
 
+    @property
+    def refill_per_s(self) -> float:
+        return self.retry_burst / self.window_s
+
 
 class _Call(msgspec.Struct):
     """A request for a slot, from its arrival to its release."""
@@ -136,6 +140,12 @@
         for server in self._witnesses.keys() - alive:
             del self._witnesses[server]
 
+    def set_limits(self, limits: Limits) -> None:
+        """Adopts changed limits of repeated sends, for all shards."""
+        self._limits = limits
+        for shard in self._shards.values():
+            shard.budget.configure(limits.retry_ratio, limits.retry_burst, limits.refill_per_s)
+
     def request(self, message: fleet_messages.SlotRequest, now: float) -> None:
         """Takes a request for a slot; the reply comes at once or when a slot is free."""
         key = (message.sender, message.call_id)
@@ -281,8 +291,7 @@
 
     def _new_budget(self, now: float) -> retries.RetryBudget:
         limits = self._limits
-        refill_per_s = limits.retry_burst / limits.window_s
-        return retries.RetryBudget(limits.retry_ratio, limits.retry_burst, refill_per_s, now)
+        return retries.RetryBudget(limits.retry_ratio, limits.retry_burst, limits.refill_per_s, now)
 
     def _shard(self, key: ShardKey, now: float) -> _Shard:
         shard = self._shards.get(key)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -181,3 +181,18 @@
     res = exchange.Response(200, (), {wire.REQUEST_ID: "a"}, b"")
     assert wire.belongs_to(res.fields, "a")
     assert not wire.belongs_to(res.fields, "b")
+
+
+def test_a_reload_adopts_limits_and_keeps_addresses(tmp_path):
+    """Guards against a VM that loses its identity, or keeps old limits, at a change."""
+    path = tmp_path / "settings.json"
+    fields = dict.fromkeys(("vm_id", "zone", "region", "http_address", "ready_address"), "x")
+    fields |= {"address": "10.0.0.1", "peer_port": 7, "store_address": "s:1"}
+    path.write_text(json.dumps(fields | {"limits": {"retry-ratio": 0.2}}))
+    cfg = boot.load(str(path))
+    path.write_text(json.dumps(fields | {"address": "10.0.0.2", "limits": {"retry-ratio": 0.1}}))
+    found = boot.reloaded(cfg, str(path))
+    assert (found.address, found.bounds.retry_ratio) == ("10.0.0.1", 0.1)
+    path.write_text("{")
+    with pytest.raises(errors.ConfigurationError):
+        boot.reloaded(found, str(path))
--- a/tests/test_slot_owner.py
+++ b/tests/test_slot_owner.py
@@ -280,3 +280,11 @@
 
 TestGrants = Grants.TestCase
 TestGrants.settings = settings(max_examples=60, stateful_step_count=30)
+
+
+def test_changed_limits_hold_for_shards_that_exist():
+    """Guards against a change of the settings that takes effect only at the next restart."""
+    owner = Owner(burst=1.0, ratio=0.0)
+    owner.ask(1, 90.0)
+    owner.core.set_limits(slot_owner.Limits(0.0, 5.0))
+    assert count_repeats(owner, range(10, 30), 130.0) == 5
