Keep only requests that may run once from gray servers

Cause: with pauses for all requests, requests that may repeat wait for good servers that have no room and are refused; before, they took a gray server, failed in 2 ms and were sent again.

Change: pauses, one request at a time and the stricter count of room hold for requests that may run only once.

--- a/dotterelfront/gray_server.py
+++ b/dotterelfront/gray_server.py
@@ -13,9 +13,10 @@
 period lasts seconds; a failure right after that has the full weight again, and failures in a row
 lengthen the time.
 
-The second failure in a row pauses the server, and each further one does so for longer. Gray servers
-mostly fail at once, so without a pause one of them drains the whole queue of a shard whose good
-servers are full. A server that fails half of its requests still gets work most of the time.
+For requests that may run only once, the second failure in a row pauses the server, and each further
+one does so for longer. Gray servers mostly fail at once, so without a pause one of them drains the
+whole queue of a shard whose good servers are full. Requests that may repeat still go there when
+nothing else has room: a failure costs them little, and they show when the server has recovered.
 """
 
 import math
@@ -48,10 +49,9 @@
 """A request is late after this many times its route's mean."""
 HOLD_SHARE = 0.25
 HOLD_SHARE_REPEATED = 0.5
-HOLD_SHARE_PROBING = 0.6
 """A request waits for a server that is not suspected for this part of its time; longer when it has
-failed once and may have no further try, or when the server has failed several times in a row. Gray
-servers often fail at once, so that they look idle when the good ones are full."""
+failed once and may have no further try. Gray servers often fail at once, so that they look idle
+when the good ones are full."""
 PAUSE_MIN_S = 0.2
 PAUSE_MAX_S = 1.0
 """Bounds of the pause after failures in a row; it doubles each time. The longest lets a server that
@@ -90,7 +90,7 @@
         return server in self._levels and self.level(server, now) > SUSPECT
 
     def paused(self, server: models.ServerId, now: float) -> bool:
-        """Whether the server gets nothing at all for the moment."""
+        """Whether the server gets no request for the moment that may run only once."""
         found = self._levels.get(server)
         return found is not None and now < found.paused_until
 
@@ -99,7 +99,7 @@
         return server in self._levels and self.level(server, now) > AVOID
 
     def probing(self, server: models.ServerId) -> bool:
-        """Whether the server gets one request at a time until it answers two.
+        """Whether it gets one request at a time that may run only once, until it answers two.
 
         All its slots are free when a pause ends; without this, as many requests fail together.
         """
--- a/dotterelfront/pools.py
+++ b/dotterelfront/pools.py
@@ -456,7 +456,7 @@
             busy = self._busy[address]
             if busy >= server.slots:
                 continue
-            if self.shedding.paused(address, now) or self._suspicion.paused(address, now):
+            if self.shedding.paused(address, now) or self._withheld(ticket, address, now):
                 continue
             usable = self._usable(server, now)
             if busy >= usable or not self.health.eligible(address, idempotent, now):
@@ -475,6 +475,13 @@
                     best = address
         return best
 
+    def _withheld(self, ticket: queueing.Ticket, address: models.ServerId, now: float) -> bool:
+        """Whether a request that may run only once must not risk a server that failed in a row."""
+        if ticket.idempotent:
+            return False
+        probing = self._suspicion.probing(address) and self._busy[address] > 0
+        return probing or self._suspicion.paused(address, now)
+
     def _suspicion_rank(self, address: models.ServerId, now: float) -> float:
         """Returns 0 for a server that may be used like others, more the likelier it is gray."""
         if self._suspicion.suspect(address, now):
@@ -490,8 +497,6 @@
         if first and ticket.idempotent and self._suspicion.trial_due(server, now):
             return False
         share = gray_server.HOLD_SHARE if first else gray_server.HOLD_SHARE_REPEATED
-        if self._suspicion.probing(server):
-            share = gray_server.HOLD_SHARE_PROBING
         return now < ticket.enqueued + share * (ticket.deadline - ticket.enqueued)
 
     def _all_suspect(self, now: float) -> bool:
@@ -499,8 +504,6 @@
 
     def _usable(self, server: models.Server, now: float) -> int:
         address = server.address
-        if self._suspicion.probing(address):
-            return 1
         share = self.health.slot_share(address, now) * self.shedding.share(address, now)
         return max(1, int(server.slots * share / self._slot_divisor + 1e-9))
 
@@ -516,13 +519,9 @@
         )
 
     def _measure_good_slots(self, now: float) -> int:
-        """Returns the part of the capacity that is not on suspected servers.
-
-        With suspected servers only, it is the part of those that are not paused.
-        """
+        """Returns the part of the capacity that is not on suspected servers."""
         if self._all_suspect(now):
-            unpaused = (s for a, s in self._active.items() if not self._suspicion.paused(a, now))
-            return max(1, sum(self._usable(server, now) for server in unpaused))
+            return self._capacity
         suspected = sum(
             self._usable(server, now)
             for address, server in self._active.items()
@@ -596,7 +595,8 @@
     def _expected(self, ticket: queueing.Ticket, cost: float, long: bool, now: float) -> float:
         """Returns the time in seconds until a new ticket should be finished."""
         service = self._service(ticket.route, now)
-        free = len(self._in_flight) < self._good_slots
+        slots = self._capacity if ticket.idempotent else self._good_slots
+        free = len(self._in_flight) < slots
         if free and (not long or (not self._queue and self._slow < self._long_limit)):
             return service
         drain = max(1, self._good_slots - self._overdue.total())
--- a/tests/test_gray_server.py
+++ b/tests/test_gray_server.py
@@ -124,7 +124,7 @@
     shard = make_shard([SERVER])
     for number in range(1, 81):
         shard.submit(make_ticket(number, idempotent=False), 0.0)
-    hold_s = 8.0 * gray_server.HOLD_SHARE_PROBING
+    hold_s = 8.0 * gray_server.HOLD_SHARE
     assert 1 <= fail_all(shard, hold_s + 3.0) <= 3.0 / gray_server.PAUSE_MAX_S + 4
 
 
