Soak: settings files change, some to faulty ones

Guards the reload: a faulty file leaves the old settings in force, a mended one is adopted with and without SIGHUP.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -24,7 +24,12 @@
         self._process: asyncio.subprocess.Process | None = None
         self._settings = folder / f"{self.name}.json"
         self._log = folder / f"{self.name}.log"
-        self._settings.write_text(json.dumps(self._fields(network)))
+        self.fields = self._fields(network)
+        self.change_settings(json.dumps(self.fields))
+
+    def change_settings(self, text: str) -> None:
+        """Replaces the settings file; the process may be told by SIGHUP, or find it by itself."""
+        self._settings.write_text(text)
 
     def _fields(self, network: str) -> dict:
         return {
--- a/soak/play.py
+++ b/soak/play.py
@@ -201,6 +201,19 @@
     world.unwell(since)
 
 
+async def _settings(world: World) -> None:
+    """Changes settings files, some to one that is faulty until it is mended."""
+    for vm in world.rng.sample(world.vms, 3):
+        vm.fields["limits"]["retry-ratio"] = world.rng.choice([0.1, 0.2])
+        if world.rng.random() < 0.3:
+            vm.change_settings("{")
+            vm.send(signal.SIGHUP)
+            await asyncio.sleep(0.3)
+        vm.change_settings(json.dumps(vm.fields))
+        if world.rng.random() < 0.5:
+            vm.send(signal.SIGHUP)
+
+
 async def _store_fault(world: World) -> None:
     since = world.now
     kind = world.rng.choice(["down", "busy", "slow", "lose", "forget", "some", "silent"])
@@ -258,4 +271,5 @@
     "leave": _leave,
     "route": _add_route,
     "spoil": _spoil,
+    "settings": _settings,
 }
