Command node status: configuration, VMs and servers from the platform's store

Operators had no command for the fleet on the platform. Unreadable records are named and make the command fail; a pool that the configuration names and that has no server is shown.

--- a/dotterelfront/node_cli.py
+++ b/dotterelfront/node_cli.py
@@ -1,13 +1,15 @@
-"""Commands for VMs on the users' platform: ``node run``, ``node check`` and ``explain``."""
+"""Commands on the users' platform: ``node run``, ``node check``, ``node status``, ``explain``."""
 
+import asyncio
 import pathlib
 import sys
 from typing import Annotated
 
+import msgspec
 import typer
 
-from dotterelfront import errors, explain, node
-from dotterelfront.platform import boot
+from dotterelfront import errors, explain, fleet_status, fleetmodel, node
+from dotterelfront.platform import boot, store
 
 node_app = typer.Typer(no_args_is_help=True, help="A VM on the users' platform.")
 
@@ -27,6 +29,29 @@
     typer.echo(f"valid: VM {cfg.vm_id} at {cfg.http_address}, zone {cfg.zone}")
 
 
+@node_app.command(epilog="Example: dotterelfront node status 10.200.1.7:8642")
+def status(
+    address: Annotated[str, typer.Argument(help="Address of the platform's store, ip:port.")],
+    as_json: Annotated[bool, typer.Option("--json", help="Prints JSON.")] = False,
+) -> None:
+    """Shows configuration, VMs and servers as the store has them; fails on unreadable records."""
+    found = fleet_status.build(asyncio.run(_list_all(address)).records)
+    if as_json:
+        typer.echo(msgspec.json.encode(found).decode())
+    else:
+        typer.echo("\n".join(fleet_status.as_lines(found)))
+    if found.unreadable:
+        raise typer.Exit(1)
+
+
+async def _list_all(address: str) -> fleetmodel.Changes:
+    client = store.Client(address)
+    try:
+        return await client.list_all("")
+    finally:
+        client.close()
+
+
 def explain_request(
     request_id: Annotated[str, typer.Argument(help="Id of the request.")],
     files: Annotated[
