--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,7 @@
 
 demo: env
 	$(PY) -m demo
+	$(PY) -m demo.platform
 
 bench: env
 	$(PY) -m bench
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -75,7 +75,7 @@
 
 @pytest.mark.parametrize(
     ("idle_s", "idempotent", "connections"),
-    [(0.5, False, 1), (3.0, False, 2), (3.0, True, 1), (9.0, True, 2)],
+    [(0.1, False, 1), (0.3, False, 2), (3.0, False, 2), (3.0, True, 1), (9.0, True, 2)],
 )
 def test_old_connections_are_not_used(opened, idle_s, idempotent, connections):
     """Guards against an order on a connection that the server closes at the same moment."""
