--- a/tests/test_node_metrics.py
+++ b/tests/test_node_metrics.py
@@ -4,7 +4,8 @@
 import subprocess
 import sys
 
-from dotterelfront import node_metrics
+from dotterelfront import node, node_metrics
+from soak import caller, play
 
 
 def scrape(metrics):
@@ -50,3 +51,26 @@
     code = "import dotterelfront.node, sys; print('opentelemetry' in sys.modules)"
     done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
     assert done.stdout.strip() == "False"
+
+
+async def _get(host, path):
+    reader, writer = await asyncio.open_connection(host, node.METRICS_PORT)
+    writer.write(f"GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n".encode())
+    found = await reader.read()
+    writer.close()
+    return found.decode()
+
+
+def test_a_running_vm_serves_its_metrics(tmp_path):
+    """Guards against an address that the deploy file names and that no VM serves."""
+
+    async def scenario(world):
+        vm = world.vms[0]
+        await caller.call(vm, "id-1", "safe", "/stock/1", world.seen)
+        return await _get(vm.host, node.METRICS_PATH), await _get(vm.host, "/other")
+
+    found, other = asyncio.run(play.with_fleet(3, tmp_path, scenario))
+    assert found.startswith("HTTP/1.1 200")
+    assert 'http_route="r-stock"' in found
+    assert 'of="configuration-revision"' in found
+    assert other.startswith("HTTP/1.1 404")
