Serve callers also when the port for metrics is taken

Cause: a VM failed to start when another service, or the platform's range of internal ports, had taken port 9464. It now logs the fact and serves without metrics; a settings file that has gone is logged once, when it is read again.

--- a/dotterelfront/node.py
+++ b/dotterelfront/node.py
@@ -120,7 +120,7 @@
         self._mesh.listen()
         ready = await self._listen(self._ready, self._cfg.ready_address)
         front = await self._listen(self._gateway, self._cfg.http_address)
-        scrapes = await self._listen(self._scrapes, f"{self._cfg.address}:{METRICS_PORT}")
+        scrapes = await self._listen_for_scrapes()
         for job in (
             self._mesh.run,
             self._follower.run,
@@ -136,7 +136,8 @@
         logs.event("started", address=self._cfg.http_address)
         await self._leaving.wait()
         await self._leave(front)
-        scrapes.close()
+        if scrapes is not None:
+            scrapes.close()
         ready.close()
 
     # Start and end
@@ -155,6 +156,15 @@
             target.connection, host, int(port), backlog=BACKLOG, reuse_address=True
         )
 
+    async def _listen_for_scrapes(self) -> asyncio.Server | None:
+        """Serves the metrics; a VM whose port for them is taken serves its callers without."""
+        address = f"{self._cfg.address}:{METRICS_PORT}"
+        try:
+            return await self._listen(self._scrapes, address)
+        except OSError as exc:
+            logs.event("metrics not served", level="WARNING", address=address, error=str(exc))
+            return None
+
     def _start(self, job) -> None:
         task = self._loop.create_task(job)
         self._tasks.add(task)
@@ -510,11 +520,13 @@
 
 
 def _version_of(path: str) -> tuple[int, int]:
-    """Returns what tells versions of a file apart; zeros while there is no file."""
+    """Returns what tells versions of a file apart; zeros while there is no file.
+
+    A file that has gone is a change, and reading it again logs why it cannot be read.
+    """
     try:
         found = os.stat(path)
-    except OSError as exc:
-        logs.event("settings file missing", level="WARNING", error=exc.strerror)
+    except OSError:
         return 0, 0
     return found.st_mtime_ns, found.st_size
 
--- a/tests/test_node_metrics.py
+++ b/tests/test_node_metrics.py
@@ -74,3 +74,18 @@
     assert 'http_route="r-stock"' in found
     assert 'of="configuration-revision"' in found
     assert other.startswith("HTTP/1.1 404")
+
+
+def test_a_taken_port_for_metrics_stops_no_vm(tmp_path):
+    """Guards against a deployment that uses the metrics' port for something else."""
+
+    async def scenario(world):
+        return [vm.name for vm in world.load.ready]
+
+    async def play_with_taken_port():
+        host = play.World(4, tmp_path).vms[0].host
+        taken = await asyncio.start_server(lambda *streams: None, host, node.METRICS_PORT)
+        async with taken:
+            return await play.with_fleet(4, tmp_path, scenario)
+
+    assert len(asyncio.run(play_with_taken_port())) == play.VMS
