--- a/dotterelfront/gray_server.py
+++ b/dotterelfront/gray_server.py
@@ -6,7 +6,7 @@
 
     suspicion = Suspicion()
     suspicion.failed(server, now=1.0)
-    suspicion.level(server, now=1.1)      # above SUSPECT: rather wait for another server
+    suspicion.level(server, now=1.1)      # above SUSPECT: use it last
     suspicion.answered(server, now=1.2)
 
 The level is the log odds that the server is gray. It returns to the prior by itself, since a gray
@@ -37,11 +37,8 @@
 """The distance from the prior halves in this time without observations: a server is used last for
 2.2 s after one failure, as long as a gray period usually lasts, and for 5 s after two."""
 SUSPECT = 0.0
-"""Log odds above which requests rather wait for another server."""
-AVOID = math.log(0.18 / 0.82)
-"""Log odds above which a server is used last. A gray period lasts up to eight seconds, and trying a
-server again costs a request that may run only once; avoiding one for 6 s after a failure costs
-nothing while others have free slots."""
+"""Log odds above which a server is used last. A lower bound would keep it out for a whole gray
+period, but the users' floor counts a server as sound two seconds after its last failure."""
 LATE_WEIGHT = 2.0
 """Log likelihood ratio of a request that runs far beyond its usual time: 3% of the requests are
 stragglers, a server that hangs has nothing else. Two late requests make a server suspect."""
@@ -94,10 +91,6 @@
         found = self._levels.get(server)
         return found is not None and now < found.paused_until
 
-    def avoided(self, server: models.ServerId, now: float) -> bool:
-        """Whether other servers with a free slot go first."""
-        return server in self._levels and self.level(server, now) > AVOID
-
     def probing(self, server: models.ServerId) -> bool:
         """Whether it gets one request at a time that may run only once, until it answers two.
 
--- a/dotterelfront/pools.py
+++ b/dotterelfront/pools.py
@@ -35,11 +35,6 @@
 """A request is overdue after this many times the 95th percentile of its route."""
 OVERDUE_CAP = 0.25
 """A route with overdue requests on this share of the slots is treated as long."""
-FAILING_SHARE = 0.1
-"""Part of the recent requests whose failure makes a shard use all servers that are not suspected:
-with many failures the avoided servers would leave too few for the rest."""
-FAILING_REQUESTS = 16
-"""Requests over which that part is averaged."""
 GRANT_RATE_S = 1.0
 """Time constant of the slot time granted to each class."""
 
@@ -149,8 +144,6 @@
         self._platform_leaving: frozenset[models.ServerId] = frozenset()
         self._signalled_leaving: set[models.ServerId] = set()
         self._full = False
-        self._failing = 0.0
-        """Part of the recent requests that were not answered."""
         self._next_attempt = 1
         self._effects: list[Effect] = []
         self._last_tick = now
@@ -199,9 +192,6 @@
         if result in TIMED_RESULTS:
             self._times.observe(attempt.route, now - attempt.started, now)
         self._note_shedding(attempt.server, result, now)
-        if result is not health.AttemptResult.CANCELLED:
-            bad = result is not health.AttemptResult.ANSWERED
-            self._failing += (bad - self._failing) / FAILING_REQUESTS
         if requeue and (running.ticket.idempotent or result in NOT_RUN_RESULTS):
             self._requeue(running.ticket, now)
         try:
@@ -461,9 +451,10 @@
             usable = self._usable(server, now)
             if busy >= usable or not self.health.eligible(address, idempotent, now):
                 continue
+            suspect = self._suspicion.suspect(address, now)
             rank = (
                 address in ticket.avoid,
-                self._suspicion_rank(address, now),
+                self._suspicion.level(address, now) if suspect else 0.0,
                 self.health.penalty(address, now),
                 busy / usable,
             )
@@ -482,13 +473,6 @@
         probing = self._suspicion.probing(address) and self._busy[address] > 0
         return probing or self._suspicion.paused(address, now)
 
-    def _suspicion_rank(self, address: models.ServerId, now: float) -> float:
-        """Returns 0 for a server that may be used like others, more the likelier it is gray."""
-        if self._suspicion.suspect(address, now):
-            return 1.0 + self._suspicion.level(address, now)
-        spread = self._failing > FAILING_SHARE
-        return 0.5 if not spread and self._suspicion.avoided(address, now) else 0.0
-
     def _holds(self, ticket: queueing.Ticket, server: models.ServerId, now: float) -> bool:
         """Whether a ticket rather waits for a server that is not suspected."""
         if not self._suspicion.suspect(server, now) or self._all_suspect(now):
