Revoke permits of leaving and cold servers too when the floor is not met

Cause: the holder of a pool's ejection right revoked permits below the floor only if the server's own slots counted at that moment. Change: every permit beyond the floor is revoked, weakest evidence first. A leaving server gets no new work anyway, so nothing is lost by it.

--- a/dotterelfront/ejection.py
+++ b/dotterelfront/ejection.py
@@ -369,13 +369,16 @@
             self.counters["revoked"] += 1
 
     def _revoke(self, now: float) -> None:
-        """Revokes permits, weakest evidence first, until the remaining ones respect the floor."""
+        """Revokes permits, weakest evidence first, until the remaining ones respect the floor.
+
+        This includes leaving and cold servers: once a drain is undone or a warm-up ends, the server
+        counts again, before its owner learns of a revocation.
+        """
         for _, server in self._weakest_first(now):
             if self.healthy_slots(self.ejected(now) - self._revoking, now) >= self._floor:
                 return
-            if self.healthy_slots({server}, now) < self.healthy_slots(set(), now):
-                self._revoking.add(server)
-                self.counters["revoked"] += 1
+            self._revoking.add(server)
+            self.counters["revoked"] += 1
 
     def _weakest_first(self, now: float) -> list[tuple[float, models.ServerId]]:
         """Returns (evidence, server) of ejected servers whose permits are not being revoked."""
