Bind a server's answer to its request, and bound answers without end

Cause: an answer without Request-Id counted as the answer to any request, so a refusal that a faulty server wrote once more on a kept connection read as "not run" for a request that the server ran (REFUSED, or TWICE by a repeat). A second refusal with the same id could answer a repeat at the same server. Chunks of two bytes, interim answers and foreign answers without end were read until the deadline, on the event loop. Change: an answer must carry the request's id; a repeat at a server that had the request, and a request without id, open a new connection. Limits on interim and foreign answers and on the size of a body's pieces end an exchange as broken, with a reason in the log and in a metric. Kind `download` counts as idempotent.

--- a/dotterelfront/errors.py
+++ b/dotterelfront/errors.py
@@ -6,6 +6,8 @@
     raise errors.NoRouteError("no route matches GET /prices")
 """
 
+import enum
+
 from dotterelfront import models
 
 
@@ -296,11 +298,32 @@
     code = "CONNECT"
 
 
+class BreakReason(enum.Enum):
+    """Why an exchange with a server was given up."""
+
+    CONNECTION = "connection"
+    """The server closed or reset the connection."""
+    MALFORMED = "malformed"
+    TOO_LARGE = "too-large"
+    INTERIM = "interim"
+    """Too many interim responses (1xx)."""
+    FOREIGN = "foreign"
+    """Too many responses that belong to other requests."""
+    FRAGMENTED = "fragmented"
+    """The body came in too many small pieces."""
+    BUFFER = "buffer"
+    """The response took more than its share of a read buffer that is full."""
+
+
 class BrokenExchangeError(ExchangeError):
     """The connection broke or the response is malformed; the request may have been executed."""
 
     code = "BROKEN_EXCHANGE"
 
+    def __init__(self, message: str = "", reason: BreakReason = BreakReason.CONNECTION):
+        super().__init__(message)
+        self.reason = reason
+
 
 class ExchangeTimeoutError(ExchangeError):
     """No complete response arrived in time; the request may have been executed."""
--- a/dotterelfront/node.py
+++ b/dotterelfront/node.py
@@ -26,6 +26,7 @@
     models,
     node_metrics,
     notices,
+    read_budget,
     relay,
     slot_client,
     slot_owner,
@@ -70,6 +71,10 @@
 """Scrape target that the deploy file declares; OpenTelemetry uses the same port."""
 BACKLOG = 512
 """Length of the accept queue. After a restart all callers of a zone connect at once."""
+DEFAULT_MEMORY_MB = 200.0
+"""Assumed memory of a VM whose settings state none; the smallest VMs have this much."""
+BUFFER_SHARE = 0.125
+"""Share of the memory that buffers responses of servers, and as much again requests of callers."""
 RETRY_RATIO_SHARE = 0.85
 RETRY_SLACK_SHARE = 0.8
 """Shares of the configured retry bounds that the shard owners of all zones grant together. The rest
@@ -103,7 +108,9 @@
         )
         topology = slot_client.Topology(self._view.zones, self._view.owners, self._on_unreachable)
         self._slots = slot_client.SlotClient(cfg.vm, self._send_to_vm, topology, incarnation)
-        self._upstream = upstream.Upstream()
+        buffer_bytes = int((cfg.memory_limit_mb or DEFAULT_MEMORY_MB) * 1e6 * BUFFER_SHARE)
+        self._budget = read_budget.ReadBudget(buffer_bytes)
+        self._upstream = upstream.Upstream(self._budget)
         self._relay = relay.Relay(
             self._slots, self._view.catalog.get, self._upstream, seed=incarnation
         )
@@ -491,6 +498,7 @@
             source("mesh_messages", "Messages between VMs", "event", lambda: self._mesh.counters),
             source("shard_events", "Decisions of this VM's shards", "event", self._read_decisions),
             source("shards", "Requests in this VM's shards", "state", self._read_shards, False),
+            source("broken_exchanges", "Broken exchanges", "reason", lambda: self._upstream.broken),
             source("state", "What this VM has", "of", self._read_state, False),
         ]
 
@@ -519,6 +527,7 @@
             "watching": int(self._watches()),
             "store-well-seconds": self._store_state.own_available_s(self._loop.time()) or 0.0,
             "connections": len(self._gateway.connections),
+            "buffered-response-bytes": self._budget.used_bytes,
         }
 
 
--- a/dotterelfront/platform/boot.py
+++ b/dotterelfront/platform/boot.py
@@ -52,6 +52,8 @@
     """Addresses of VMs that may have a copy of the records while the store is unavailable. Messages
     to them use ``peer_port`` instead of the port given here."""
     log_format: logs.LogFormat = logs.LogFormat.JSON
+    memory_limit_mb: float | None = None
+    """Memory of the process, of which a share buffers responses and requests."""
     limits: dict[str, str | float | bool] = {}
 
     @property
--- a/dotterelfront/platform/records.py
+++ b/dotterelfront/platform/records.py
@@ -20,7 +20,7 @@
 SERVERS_PREFIX = "servers/"
 
 _STATE_BY_NAME = {"ready": models.ServerState.ACTIVE, "draining": models.ServerState.LEAVING}
-_IDEMPOTENT_BY_KIND = {"safe": True, "unsafe": False}
+_IDEMPOTENT_BY_KIND = {"safe": True, "download": True, "unsafe": False}
 """Whether requests of a kind are idempotent."""
 
 
--- a/dotterelfront/platform/wire.py
+++ b/dotterelfront/platform/wire.py
@@ -64,9 +64,10 @@
 def matches_request_id(fields: Mapping[str, str], expected_id: str) -> bool:
     """Whether a response belongs to the request with ``expected_id``.
 
-    A response without an id counts as a match, because it may be a server's rejection.
+    Servers return the id of each request, also when they reject it. A response without an id may be
+    a copy of an earlier rejection, so it belongs only to a request without an id.
     """
-    return fields.get(REQUEST_ID, expected_id) == expected_id
+    return fields.get(REQUEST_ID, "") == expected_id
 
 
 def refusal_headers(retry_after_s: float | None) -> Pairs:
--- a/dotterelfront/relay.py
+++ b/dotterelfront/relay.py
@@ -83,8 +83,11 @@
 
 
 class _Outcome(msgspec.Struct):
+    """``reason`` tells why there is no usable response."""
+
     verdict: Verdict
     res: exchange.Response | None = None
+    reason: str = ""
 
 
 _ATTEMPT_RESULTS = {
@@ -215,16 +218,17 @@
         server = self._servers(server_id)
         if server is None or server.pool != pool or now >= progress.deadline:
             return _Outcome(Verdict.UNREACHED)
+        is_first = server_id not in progress.avoid
         progress.avoid.append(server_id)
         try:
-            res = await self._upstream.send(server, req, progress.deadline - now)
+            res = await self._upstream.send(server, req, progress.deadline - now, reuse=is_first)
         except errors.ConnectError:
             self._unreachable[server_id] = asyncio.get_running_loop().time()
             return _Outcome(Verdict.UNREACHED)
         except errors.ExchangeTimeoutError:
             return _Outcome(Verdict.TIMEOUT)
-        except errors.ExchangeError:
-            return _Outcome(Verdict.LOST)
+        except errors.BrokenExchangeError as exc:
+            return _Outcome(Verdict.LOST, reason=exc.reason.value)
         verdict = classify(res)
         if (
             verdict is Verdict.FAILED
@@ -296,6 +300,7 @@
         server=server,
         verdict=outcome.verdict.value,
         status=outcome.res.status if outcome.res else 0,
+        reason=outcome.reason,
         after_ms=round((asyncio.get_running_loop().time() - started) * 1000),
     )
 
--- a/dotterelfront/upstream.py
+++ b/dotterelfront/upstream.py
@@ -11,11 +11,12 @@
 """
 
 import asyncio
+import collections
 import functools
 
 import msgspec
 
-from dotterelfront import exchange, fleetmodel, models
+from dotterelfront import errors, exchange, fleetmodel, models, read_budget
 from dotterelfront.platform import wire
 
 CONNECT_TIMEOUT_S = 0.15
@@ -48,33 +49,45 @@
 
 
 class Upstream:
-    """Connection pool of one VM for all servers."""
+    """Connection pool of one VM for all servers.
 
-    def __init__(self):
+    ``budget`` limits the response bytes that are buffered at one time.
+    """
+
+    def __init__(self, budget: read_budget.ReadBudget | None = None):
+        self._budget = budget
         self._idle: dict[_PoolKey, list[exchange.Connection]] = {}
+        self.broken: collections.Counter[str] = collections.Counter()
+        """Broken exchanges by reason."""
 
     async def send(
-        self, server: fleetmodel.Instance, req: UpstreamRequest, remaining_s: float
+        self,
+        server: fleetmodel.Instance,
+        req: UpstreamRequest,
+        remaining_s: float,
+        reuse: bool = True,
     ) -> exchange.Response:
         """Sends a request to one server and returns its response.
 
-        ``remaining_s`` is the time left until the request's deadline.
+        ``remaining_s`` is the time left until the request's deadline. ``reuse`` must be false if
+        the server has had the request before: a late copy of its first response has the same id.
         """
         started = asyncio.get_running_loop().time()
-        conn = self._take_idle(server, req.idempotent, started)
+        # Only the id tells a late response to an earlier request from the expected one.
+        reuse = reuse and bool(req.request_id)
+        conn = self._take_idle(server, req.idempotent, started) if reuse else None
         if conn is None:
-            conn = await exchange.connect(server.address, min(CONNECT_TIMEOUT_S, remaining_s))
+            connect_s = min(CONNECT_TIMEOUT_S, remaining_s)
+            conn = await exchange.connect(server.address, connect_s, self._budget)
         remaining_s -= asyncio.get_running_loop().time() - started
         pairs = wire.server_request_headers(req.headers, server.id, remaining_s)
         matches = functools.partial(_is_response_to, req.request_id)
-        res = await conn.send(
-            req.method,
-            req.target,
-            pairs,
-            req.body,
-            max(0.0, remaining_s) + RESPONSE_SLACK_S,
-            matches,
-        )
+        timeout_s = max(0.0, remaining_s) + RESPONSE_SLACK_S
+        try:
+            res = await conn.send(req.method, req.target, pairs, req.body, timeout_s, matches)
+        except errors.BrokenExchangeError as exc:
+            self.broken[exc.reason.value] += 1
+            raise
         if conn.reusable:
             self._put_idle(server, conn)
         return res
--- a/soak/backend.py
+++ b/soak/backend.py
@@ -48,11 +48,12 @@
         store.put(f"servers/{self.name}", json.dumps(record).encode())
 
     async def _handle(self, req: http_server.Request) -> http_server.Response:
+        own_id = [("Request-Id", req.headers["request-id"])]
         if req.headers.get("target-instance") != self.name:
-            return http_server.Response(421)
+            return http_server.Response(421, own_id)
         faulty = self._rng.random() < self.share
         if faulty and self.fault == "shed" or self._waiting > MAX_QUEUED:
-            return http_server.Response(503, [("Not-Executed", "1")])
+            return http_server.Response(503, [*own_id, ("Not-Executed", "1")])
         self._waiting += 1
         try:
             await self._slots.acquire()
@@ -83,6 +84,16 @@
     ),
     "lose": lambda headers, body: http_server.Response(0),
     "other": lambda headers, body: http_server.Response(200, [("Request-Id", "other")], b"no"),
+    "repeat": lambda headers, body: http_server.Response(
+        200, headers, body, stray=b"HTTP/1.1 503 -\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+    ),
+    "endless head": lambda headers, body: http_server.Response(
+        200, endless=b"HTTP/1.1 102 -\r\n\r\n" * 500
+    ),
+    "endless body": lambda headers, body: http_server.Response(
+        200,
+        endless=b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + b"1\r\nx\r\n" * 2_000,
+    ),
 }
 """Response to a request that ran, by fault. In addition, ``shed`` rejects a request before it runs,
 and ``hang`` never responds."""
--- a/standins/http_server.py
+++ b/standins/http_server.py
@@ -37,6 +37,10 @@
     body: bytes = b""
     truncate_at: int | None = None
     """Bytes of the body after which the connection closes; None sends the whole body."""
+    stray: bytes = b""
+    """Bytes sent before the response, such as a copy of an earlier one."""
+    endless: bytes = b""
+    """Bytes sent instead of the response, again and again until the client closes."""
 
 
 RequestHandler = Callable[[Request], Awaitable[Response]]
@@ -89,6 +93,9 @@
         if res.status == 0:
             self._transport.abort()
             return
+        if res.endless:
+            await self._send_endlessly(res.endless)
+            return
         header_pairs = [*res.headers, ("Content-Length", str(len(res.body)))]
         raw = self._conn.send(h11.Response(status_code=res.status, headers=header_pairs))
         if res.body:
@@ -98,13 +105,18 @@
             self._transport.write(raw[: len(raw) - len(res.body) + res.truncate_at])
             self._transport.close()
             return
-        self._transport.write(raw)
+        self._transport.write(res.stray + raw)
         if self._conn.our_state is h11.MUST_CLOSE:
             self._transport.close()
             return
         self._conn.start_next_cycle()
         self._process_events()
 
+    async def _send_endlessly(self, raw: bytes) -> None:
+        while not self._transport.is_closing():
+            self._transport.write(raw)
+            await asyncio.sleep(0.001)
+
 
 async def serve(handle: RequestHandler, host: str, port: int) -> asyncio.Server:
     """Starts a server on the address that passes each request to ``handle``."""
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -1,10 +1,13 @@
 """Responses of faulty servers: only a complete response to the same request is returned."""
 
 import asyncio
+import functools
+import time
 
 import pytest
 
-from dotterelfront import errors, exchange
+from dotterelfront import errors, exchange, read_budget
+from dotterelfront.platform import wire
 
 OK = b"HTTP/1.1 200 OK\r\nRequest-Id: a\r\nContent-Length: 2\r\n\r\nok"
 OTHER = b"HTTP/1.1 200 OK\r\nRequest-Id: z\r\nContent-Length: 3\r\n\r\nbad"
@@ -14,7 +17,7 @@
     """Records the written bytes; ``pending`` is the number of bytes in the write buffer."""
 
     def __init__(self):
-        self.written, self.closed, self.pending = b"", False, 0
+        self.written, self.closed, self.pending, self.paused = b"", False, 0, False
 
     def write(self, data):
         self.written += data
@@ -28,6 +31,12 @@
     def get_write_buffer_size(self):
         return self.pending
 
+    def pause_reading(self):
+        self.paused = True
+
+    def resume_reading(self):
+        self.paused = False
+
 
 def run(*steps, timeout_s=60.0, pending=0):
     """Sends a request and applies the steps to its connection; returns both."""
@@ -154,3 +163,153 @@
             await conn.send("GET", "/x", [("Host", "h")], b"", 60.0)
 
     asyncio.run(scenario())
+
+
+# Rejections that belong to another request
+
+NOT_RUN = b"HTTP/1.1 503 -\r\n%sNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+MISDIRECTED = b"HTTP/1.1 421 -\r\n%sContent-Length: 0\r\n\r\n"
+SUCCESS = b"HTTP/1.1 200 OK\r\n%sResponse-Sig: s\r\nContent-Length: 2\r\n\r\nok"
+INTERIM = b"HTTP/1.1 103 -\r\n%sNot-Executed: 1\r\n\r\n"
+OWN = b"Request-Id: a\r\n"
+
+
+@pytest.mark.parametrize("copy", [NOT_RUN, MISDIRECTED, SUCCESS, INTERIM])
+@pytest.mark.parametrize("request_id", [b"", b"Request-Id: z\r\n"])
+@pytest.mark.parametrize("later", [False, True])
+def test_a_copy_of_an_earlier_response_is_not_the_answer(copy, request_id, later):
+    """Guards against "not run" for an order that the server runs.
+
+    The server writes a response once more, with the earlier id or without one, and then responds to
+    the request.
+    """
+
+    async def scenario():
+        conn = exchange.Connection()
+        conn.connection_made(Transport())
+        matches = functools.partial(wire.matches_request_id, expected_id="a")
+        task = asyncio.ensure_future(
+            conn.send("POST", "/x", [("Host", "h"), ("Content-Length", "0")], b"", 60.0, matches)
+        )
+        await asyncio.sleep(0)
+        raws = [copy % request_id, SUCCESS % OWN]
+        for raw in raws if later else [b"".join(raws)]:
+            conn.data_received(raw)
+        return await task
+
+    res = asyncio.run(scenario())
+    assert (res.status, res.fields["request-id"]) == (200, "a")
+
+
+def test_a_copy_alone_leaves_the_outcome_unknown():
+    """Guards against "not run" after a copy of a rejection when no response follows."""
+    conn, exc = run(data(NOT_RUN % b""), eof)
+    assert isinstance(exc, errors.BrokenExchangeError)
+    assert not conn.reusable
+
+
+# Responses without end
+
+CHUNKED = b"HTTP/1.1 200 OK\r\nRequest-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+ENDLESS = {
+    "small chunks": (CHUNKED, b"2\r\nab\r\n", errors.BreakReason.FRAGMENTED),
+    "interim": (b"", b"HTTP/1.1 102 -\r\n\r\n", errors.BreakReason.INTERIM),
+    "foreign": (b"", OTHER, errors.BreakReason.FOREIGN),
+    "body": (CHUNKED, b"10000\r\n" + b"x" * 65_536 + b"\r\n", errors.BreakReason.TOO_LARGE),
+    "head": (b"HTTP/1.1 200 OK\r\n", b"X: y\r\n", errors.BreakReason.MALFORMED),
+    "header": (b"HTTP/1.1 200 OK\r\nX: ", b"y" * 50, errors.BreakReason.MALFORMED),
+    "trailer": (CHUNKED + b"0\r\n", b"X: y\r\n", errors.BreakReason.MALFORMED),
+    "chunk extension": (CHUNKED + b"1;", b"y" * 50, errors.BreakReason.MALFORMED),
+    "no protocol": (b"", b"\x00\xff" * 20, errors.BreakReason.MALFORMED),
+}
+TURN_LIMIT_S = 0.05
+
+
+@pytest.mark.parametrize("name", ENDLESS)
+def test_an_endless_response_breaks_the_exchange(name):
+    """Guards against a sick server that occupies a VM until the deadline of the request.
+
+    No turn of the event loop takes longer than ``TURN_LIMIT_S`` of processor time.
+    """
+    start, endless, reason = ENDLESS[name]
+    block = endless * (exchange.READ_BYTES // len(endless) + 1)
+
+    async def scenario():
+        conn = exchange.Connection()
+        transport = Transport()
+        conn.connection_made(transport)
+        matches = lambda fields: fields.get("request-id") == "a"  # noqa: E731
+        task = asyncio.ensure_future(
+            conn.send("GET", "/x", [("Host", "h")], b"", timeout_s=60.0, matches=matches)
+        )
+        await asyncio.sleep(0)
+        if start:
+            conn.data_received(start)
+        position, received, longest_s = 0, 0, 0.0
+        while not task.done():
+            started = time.process_time()
+            if not transport.paused:
+                raw = block[position : position + exchange.READ_BYTES]
+                position = (position + len(raw)) % len(block)
+                received += len(raw)
+                conn.data_received(raw)
+            await asyncio.sleep(0)
+            longest_s = max(longest_s, time.process_time() - started)
+            assert received < 2 * exchange.MAX_RESPONSE_BYTES
+        with pytest.raises(errors.BrokenExchangeError) as caught:
+            await task
+        assert transport.closed
+        return caught.value.reason, longest_s
+
+    found, longest_s = asyncio.run(scenario())
+    assert found is reason
+    assert longest_s < TURN_LIMIT_S
+
+
+def test_many_small_chunks_of_a_finite_body_are_read_in_turns():
+    """Guards against a long body of short lines that holds the event loop."""
+    chunk = b"40\r\n" + b"x" * 64 + b"\r\n"
+
+    async def scenario():
+        conn = exchange.Connection()
+        transport = Transport()
+        conn.connection_made(transport)
+        task = asyncio.ensure_future(conn.send("GET", "/x", [("Host", "h")], b"", 60.0))
+        await asyncio.sleep(0)
+        conn.data_received(CHUNKED + chunk * 2_000 + b"0\r\n\r\n")
+        assert transport.paused
+        res = await task
+        assert not transport.paused
+        return res
+
+    assert len(asyncio.run(scenario()).body) == 128_000
+
+
+def test_responses_share_the_read_buffer_of_the_vm():
+    """Guards against four endless bodies that together fill the memory of a VM."""
+
+    async def scenario():
+        budget = read_budget.ReadBudget(1_000_000)
+        conns, tasks = [], []
+        for _ in range(4):
+            conn = exchange.Connection(budget)
+            conn.connection_made(Transport())
+            conns.append(conn)
+            tasks.append(asyncio.ensure_future(conn.send("GET", "/", [("Host", "h")], b"", 60.0)))
+        await asyncio.sleep(0)
+        peak = 0
+        for conn in conns:
+            conn.data_received(CHUNKED)
+        for _ in range(100):
+            for conn, task in zip(conns, tasks, strict=True):
+                if not task.done() and not conn._transport.paused:
+                    conn.data_received(b"4000\r\n" + b"x" * 16_384 + b"\r\n")
+                    peak = max(peak, budget.used_bytes)
+            await asyncio.sleep(0)
+        results = await asyncio.gather(*tasks, return_exceptions=True)
+        return peak, budget.used_bytes, [exc.reason for exc in results]
+
+    peak, left, reasons = asyncio.run(scenario())
+    assert peak < 1_100_000
+    assert left == 0
+    assert set(reasons) == {errors.BreakReason.BUFFER}
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -113,6 +113,13 @@
     ]
 
 
+@pytest.mark.parametrize("kind", ["safe", "download"])
+def test_idempotent_kinds(kind):
+    """Guards against downloads that fail because they are not repeated."""
+    config = records.configuration(modified(CONFIG, ["routes", "r-1", "kind"], kind))
+    assert config.routes[0].idempotent
+
+
 def test_unknown_kind_of_request_is_not_idempotent():
     """Guards against retries of a non-idempotent request when the platform adds a kind."""
     raw = modified(CONFIG, ["routes", "r-1", "kind"], "sometimes")
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -51,10 +51,11 @@
     """Responds to each request with the next step; records the requests."""
 
     def __init__(self, steps):
-        self.steps, self.sent = list(steps), []
+        self.steps, self.sent, self.reuse = list(steps), [], []
 
-    async def send(self, server, req, remaining_s):
+    async def send(self, server, req, remaining_s, reuse=True):
         self.sent.append((server.id, remaining_s))
+        self.reuse.append(reuse)
         step = self.steps.pop(0) if self.steps else STEPS["answer"]
         if isinstance(step, Exception):
             raise step
@@ -240,7 +241,7 @@
     call, slots = make_call(arrived=1e9), Slots()
 
     class Disconnecting(Servers):
-        async def send(self, server, req, remaining_s):
+        async def send(self, server, req, remaining_s, reuse):
             call.disconnected = True
             return await super().send(server, req, remaining_s)
 
@@ -261,7 +262,7 @@
     slots = Slots()
 
     class Silent:
-        async def send(self, server, req, remaining_s):
+        async def send(self, server, req, remaining_s, reuse):
             await asyncio.Event().wait()
 
     async def scenario():
@@ -275,3 +276,15 @@
 
     asyncio.run(scenario())
     assert slots.results == [health.AttemptResult.CANCELLED]
+
+
+def test_a_repeat_at_the_same_server_does_not_reuse_a_connection():
+    """Guards against a copy of the first rejection that has the id of the repeated request."""
+
+    class OneServer(Slots):
+        async def acquire(self, requirements):
+            lease = await super().acquire(requirements)
+            return slot_client.SlotLease("i-1", lease.release)
+
+    *_, servers = handle(["not run", "answer"], OneServer())
+    assert servers.reuse == [True, False]
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -31,15 +31,15 @@
     return fleetmodel.Instance(name, "10.0.0.1:80", "p", "a", 4, active, 1, 0.0, started_ms)
 
 
-def make_request(idempotent=True):
-    return upstream.UpstreamRequest("GET", "/x", [("Host", "h")], b"", "id", idempotent)
+def make_request(idempotent=True, request_id="id"):
+    return upstream.UpstreamRequest("GET", "/x", [("Host", "h")], b"", request_id, idempotent)
 
 
 @pytest.fixture
 def opened(monkeypatch):
     opened = []
 
-    async def connect(address, timeout_s):
+    async def connect(address, timeout_s, budget):
         opened.append(Connection())
         return opened[-1]
 
@@ -58,8 +58,9 @@
     asyncio.run(run())
 
 
-def send(target=None, idempotent=True, remaining_s=1.0):
-    return lambda subject: subject.send(target or server(), make_request(idempotent), remaining_s)
+def send(target=None, idempotent=True, remaining_s=1.0, request_id="id", reuse=True):
+    req = make_request(idempotent, request_id)
+    return lambda subject: subject.send(target or server(), req, remaining_s, reuse)
 
 
 def test_a_connection_is_reused(opened):
@@ -113,3 +114,25 @@
     assert headers["Target-Instance"] == "i-1"
     assert int(headers["Request-Deadline"]) <= 700
     assert timeout_s <= 0.7 + upstream.RESPONSE_SLACK_S
+
+
+def test_a_request_that_the_server_had_before_gets_a_new_connection(opened):
+    """Guards against a late copy of a rejection that has the id of the repeated request."""
+    run_steps(send(), send(reuse=False))
+    assert len(opened) == 2
+
+
+def test_a_request_without_id_gets_a_new_connection(opened):
+    """Guards against a late response without an id that is taken for the expected one."""
+    run_steps(send(), send(request_id=""))
+    assert len(opened) == 2
+
+
+def test_broken_exchanges_are_counted_by_reason(opened):
+    async def fail(subject):
+        opened[0].failure = errors.BrokenExchangeError("", errors.BreakReason.FRAGMENTED)
+        with pytest.raises(errors.BrokenExchangeError):
+            await send()(subject)
+        assert subject.broken == {"fragmented": 1}
+
+    run_steps(send(), fail)
