Take no answer without an id on a reused connection of the operators' path

Cause: backends accepted a response without X-Request-Id on any connection, so a copy of an earlier refusal or answer could be taken for the next one. Change: a connection is kept only after a response with the request's id that is no refusal; on a kept connection a response without an id is broken. Servers that do not return the id get a new connection for each request. Tests: the reuse tests now play servers that return the id, which the new rule requires; a refusal without an id is expected to close its connection, where it was expected to be kept.

--- a/dotterelfront/backends.py
+++ b/dotterelfront/backends.py
@@ -1,7 +1,9 @@
 """Sends a request to a backend server over keep-alive connections.
 
 Each request is written once, without retries or redirects. The result is a complete response or a
-``AttemptError``. A connection is reused only if no bytes follow a complete response.
+``AttemptError``. A connection is reused only if no bytes follow a complete response, the response
+has the request's id, and the server ran the request. On a reused connection, a response without an
+id may be a copy of an earlier one and proves nothing.
 
 urllib3 writes the requests and reads the responses, on top of ``http.client`` of the standard
 library. It uses a socket adapter that limits the whole exchange by one deadline and treats the end
@@ -231,6 +233,7 @@
         self.server = server
         self.sock = sock
         self.idle_since = 0.0
+        self.reused = False
         self.stream = _Socket(sock, now)
         host, _, port = server.rpartition(":")
         self.http = urllib3.connection.HTTPConnection(host, int(port))
@@ -278,7 +281,7 @@
 
     def release(self, conn: _Conn) -> None:
         """Makes a connection idle, and closes those of its server that were idle for too long."""
-        conn.idle_since = self.now()
+        conn.idle_since, conn.reused = self.now(), True
         stale = []
         with self._lock:
             idle = self._idle.setdefault(conn.server, collections.deque())
@@ -337,11 +340,13 @@
     except BaseException:
         connections.close(conn)
         raise
-    if reusable:
+    not_run = head.fields.get(_OUTCOME) == models.Outcome.NOT_RUN.value
+    # A copy of a refusal could answer a repeat of the request, which has the same id.
+    if reusable and not not_run and _REQUEST_ID in head.fields:
         connections.release(conn)
     else:
         connections.close(conn)
-    if head.fields.get(_OUTCOME) == models.Outcome.NOT_RUN.value:
+    if not_run:
         error = errors.ServerRefusedError(f"{server} did not run the request")
         raise AttemptError(health.AttemptResult.REFUSED, error)
     relayed = headers.without_internal_headers(headers.end_to_end(head.headers, head.fields))
@@ -374,7 +379,7 @@
         fully_written = _write(conn, req)
         res = conn.http.getresponse()
         head = conn.stream.response.head
-        _check_request_id(head, req)
+        _check_request_id(head, conn, req)
         body = _read_body(conn.stream.response, res, req.max_response_bytes)
     except errors.BodyTooLargeError as exc:
         raise _broken_exchange(errors.ResponseTooLargeError(str(exc))) from exc
@@ -449,7 +454,9 @@
     return res.read()
 
 
-def _check_request_id(head: headers.ResponseHead, req: ServerRequest) -> None:
-    echoed = head.fields.get(_REQUEST_ID, req.request_id)
-    if echoed != req.request_id:
+def _check_request_id(head: headers.ResponseHead, conn: _Conn, req: ServerRequest) -> None:
+    echoed = head.fields.get(_REQUEST_ID)
+    if echoed is None and conn.reused:
+        raise _broken_exchange(errors.WrongResponseError("response has no request id"))
+    if echoed not in (None, req.request_id):
         raise _broken_exchange(errors.WrongResponseError("response has the id of another request"))
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -77,7 +77,7 @@
 
 def _message(body: bytes, chunk: int) -> bytes:
     head = b"HTTP/1.1 200 OK\r\nSet-Cookie: a\r\nSet-Cookie: b\r\nConnection: X-Hop\r\nX-Hop: 1\r\n"
-    head += b"Content-Encoding: gzip\r\n"
+    head += b"Content-Encoding: gzip\r\nX-Request-Id: id-1\r\n"
     if not chunk:
         return head + b"Content-Length: %d\r\n\r\n%s" % (len(body), body)
     parts = [body[at : at + chunk] for at in range(0, len(body), chunk)]
@@ -98,7 +98,7 @@
     for _ in range(2):
         res = script.send()
         assert (res.status, res.body) == (200, body)
-        kept = [name for name, _ in res.headers if name != "Content-Length"]
+        kept = [name for name, _ in res.headers if name not in ("Content-Length", "X-Request-Id")]
         assert kept == ["Set-Cookie", "Set-Cookie", "Content-Encoding"]
     assert len(script.conns) == 1
 
@@ -118,6 +118,7 @@
 
 NOT_RUN = b"HTTP/1.1 503 -\r\nContent-Length: 0\r\nDotterelfront-Outcome: not-run\r\n"
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"
+WITH_ID = OK + b"X-Request-Id: id-1\r\n"
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 Result = health.AttemptResult
 
@@ -125,7 +126,13 @@
 @pytest.mark.parametrize(
     ("segments", "result", "error", "closed"),
     [
-        ([NOT_RUN + b"\r\n"], Result.REFUSED, errors.ServerRefusedError, False),
+        ([NOT_RUN + b"\r\n"], Result.REFUSED, errors.ServerRefusedError, True),
+        (
+            [NOT_RUN + b"X-Request-Id: id-1\r\n\r\n"],
+            Result.REFUSED,
+            errors.ServerRefusedError,
+            True,
+        ),
         ([NOT_RUN + b"X-Request-Id: id-2\r\n\r\n"], Result.BROKEN, errors.WrongResponseError, True),
         ([OK + b"x-request-id: id-2\r\n\r\n"], Result.BROKEN, errors.WrongResponseError, True),
         ([OK[:-3] + b"65\r\n\r\n"], Result.BROKEN, errors.ResponseTooLargeError, True),
@@ -197,7 +204,7 @@
 @pytest.mark.parametrize("framing", [b"Content-Length: 900", b"Transfer-Encoding: chunked"])
 def test_response_without_body_is_complete_after_its_head(method, status, framing):
     """Guards against a wait for the body that HEAD, 204 and 304 responses only describe."""
-    script = Script([b"HTTP/1.1 %s -\r\n%s\r\n\r\n" % (status, framing)] * 2)
+    script = Script([b"HTTP/1.1 %s -\r\n%s\r\nX-Request-Id: id-1\r\n\r\n" % (status, framing)] * 2)
     for _ in range(2):
         assert script.send(method).body == b""
     assert len(script.conns) == 1
@@ -224,10 +231,10 @@
 @pytest.mark.parametrize("extra", ["in the segment", "later", "closed", "Connection: close"])
 def test_connection_with_extra_bytes_or_closed_is_not_reused(extra):
     """Guards against bytes after one response that are read as the next caller's response."""
-    complete = OK + b"\r\n"
+    complete = WITH_ID + b"\r\n"
     first = {
         "in the segment": complete + b"x",
-        "Connection: close": OK + b"connection: Close\r\n\r\n",
+        "Connection: close": WITH_ID + b"connection: Close\r\n\r\n",
     }
     script = Script([first.get(extra, complete)], [complete])
     script.send()
@@ -242,7 +249,7 @@
 
 def test_idle_connections_are_reused_only_for_a_short_time():
     """Guards against sending a non-idempotent request on a connection the server is closing."""
-    script = Script(*[[OK + b"\r\n"] * 9 for _ in range(4)])
+    script = Script(*[[WITH_ID + b"\r\n"] * 9 for _ in range(4)])
     script.send(idempotent=False)
     script.time += backends.MAX_IDLE_NON_IDEMPOTENT_S
     script.send(idempotent=True)
@@ -259,7 +266,7 @@
 
 def test_open_connections_are_limited():
     """Guards against more connections than a server accepts."""
-    script = Script([OK + b"\r\n"], [OK + b"\r\n"])
+    script = Script([WITH_ID + b"\r\n"], [WITH_ID + b"\r\n"])
     conn = script.pool.acquire(SERVER, 1, backends.MAX_IDLE_S)
     with pytest.raises(backends.AttemptError) as caught:
         script.send(limit=1)
@@ -270,6 +277,26 @@
     assert conn.sock.closed
 
 
+@pytest.mark.parametrize("copy", [NOT_RUN + b"\r\n", OK + b"\r\n"])
+def test_response_without_id_proves_nothing_on_a_reused_connection(copy):
+    """Guards against a copy of an earlier response that arrives after the check for reuse."""
+    script = Script([WITH_ID + b"\r\n", copy])
+    script.send("POST")
+    with pytest.raises(backends.AttemptError) as caught:
+        script.send("POST")
+    assert caught.value.result is Result.BROKEN
+    assert caught.value.error.outcome is models.Outcome.UNKNOWN
+    assert script.conns[0].closed
+
+
+def test_connection_is_not_reused_after_a_response_without_id():
+    """Guards against responses on a reused connection that nothing assigns to their request."""
+    script = Script([OK + b"\r\n"], [OK + b"\r\n"])
+    script.send()
+    script.send()
+    assert len(script.conns) == 2
+
+
 def test_request_is_written_once_with_its_id_and_deadline():
     """Guards against a caller that sets the headers reserved for the proxy, against several writes,
     and against headers that urllib3 adds, joins or reorders."""
