Answer what has arrived before a planned stop, and bound callers without end

Cause: closing idle connections at shutdown did not look at unread or half received requests, closing the listening socket reset the connections in its queue, and the renewal of the VM's record went on after its deletion. Heads and bodies that trickle, and callers that read nothing, were not bounded; an error in one background task stopped the VM. Change: a VM accepts until the end, refuses new requests as not run with Retry-After 0.1 s after 3 s, closes idle connections only after a read turn, and empties the accept queue when it closes. The renewal ends before the record's lease is revoked, and its write names the lease. Callers' requests and answers share an eighth of the memory; heads, bodies and reading have time limits; reads are 64 KB. A reset connection no longer raises OSError 107. Tests: close_idle is gone; its test is replaced by one that also has a half received body and a request that arrives during the stop.

--- a/dotterelfront/http1.py
+++ b/dotterelfront/http1.py
@@ -17,6 +17,10 @@
 
 from dotterelfront import errors, headers
 
+FREE_FRAGMENTS = 1_000
+MIN_FRAGMENT_BYTES = 64
+"""The pieces of a chunked body must have this mean size after the first ``FREE_FRAGMENTS``. Each
+piece costs processor time, however small it is."""
 _BLANK_LINE = b"\r\n\r\n"
 _PHRASES = {status.value: status.phrase.encode() for status in http.HTTPStatus}
 
@@ -39,6 +43,7 @@
         self._body_limit_bytes = 0
         self._body_parts: list[bytes] = []
         self._body_size = 0
+        self._fragments = 0
         self._chunk_tail = b""
         """Last bytes of the chunked body received so far."""
 
@@ -57,9 +62,19 @@
         """Whether the caller waits for ``100 Continue`` before it sends the body."""
         return self._head is not None and self._conn.they_are_waiting_for_100_continue
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Number of received bytes that are not part of a request returned yet."""
+        return len(self._buf) + self._body_size
+
     def feed(self, data: bytes) -> None:
         self._buf += data
 
+    def discard(self) -> None:
+        """Drops the received part of a request that is rejected."""
+        self._buf.clear()
+        self._pop_body()
+
     def detach_trailing_data(self) -> bytes:
         """Removes and returns the bytes that follow the last request.
 
@@ -200,6 +215,9 @@
                 return True
             self._body_parts.append(event.data)
             self._body_size += len(event.data)
+            self._fragments += 1
+            if self._fragments > FREE_FRAGMENTS + self._body_size / MIN_FRAGMENT_BYTES:
+                raise errors.FramingError("body in too many small pieces")
             if self._body_size > self._body_limit_bytes:
                 raise errors.BodyTooLargeError(f"body of more than {self._body_limit_bytes} bytes")
         return False
@@ -207,7 +225,7 @@
     def _pop_body(self) -> bytes:
         body = b"".join(self._body_parts)
         self._body_parts.clear()
-        self._body_size = 0
+        self._body_size = self._fragments = 0
         return body
 
 
--- a/dotterelfront/node.py
+++ b/dotterelfront/node.py
@@ -21,6 +21,7 @@
     fleetmodel,
     follow,
     gateway,
+    listener,
     logs,
     mesh,
     models,
@@ -30,6 +31,7 @@
     relay,
     slot_client,
     slot_owner,
+    supervisor,
     upstream,
     watch_role,
 )
@@ -60,6 +62,9 @@
 """The load balancer removes a VM after two failed health checks, one per second."""
 EXIT_MARGIN_S = 0.4
 """Time between the last response and the platform's SIGKILL."""
+LAST_ANSWERS_S = 0.15
+"""Time to answer the connections that are accepted while the listening socket closes."""
+RECORD_TASK = "renew-record"
 SETTINGS_CHECK_INTERVAL_S = 5.0
 """Interval of checks for a changed settings file. The file changes rarely, and a check costs one
 system call."""
@@ -69,8 +74,6 @@
 METRICS_PORT = 9464
 METRICS_PATH = "/metrics"
 """Scrape target that the deploy file declares; OpenTelemetry uses the same port."""
-BACKLOG = 512
-"""Length of the accept queue. After a restart all callers of a zone connect at once."""
 DEFAULT_MEMORY_MB = 200.0
 """Assumed memory of a VM whose settings state none; the smallest VMs have this much."""
 BUFFER_SHARE = 0.125
@@ -116,14 +119,17 @@
         )
         self._metrics = node_metrics.NodeMetrics(cfg.vm_id, self._metric_sources())
         self._gateway = gateway.Gateway(
-            self._relay.handle, self._connection_limits, observe=self._metrics.observe_request
+            self._relay.handle,
+            self._connection_limits,
+            observe=self._metrics.observe_request,
+            buffer_bytes=buffer_bytes,
         )
         self._metrics_gateway = gateway.Gateway(self._answer_scrape)
         self._readiness_gateway = gateway.Gateway(self._answer_readiness)
         self._leaving = asyncio.Event()
         self._owner_busy = asyncio.Event()
         self._lease: int | None = None
-        self._tasks: set[asyncio.Task] = set()
+        self._supervisor = supervisor.Supervisor(self._leaving.set)
 
     async def run(self) -> None:
         """Runs until SIGTERM or SIGINT, then finishes the open requests."""
@@ -131,27 +137,29 @@
         self._loop.add_signal_handler(signal.SIGINT, self._leaving.set)
         self._loop.add_signal_handler(signal.SIGHUP, self._reload)
         self._mesh.listen()
-        ready_listener = await self._listen(self._readiness_gateway, self._cfg.ready_address)
-        http_listener = await self._listen(self._gateway, self._cfg.http_address)
-        metrics_listener = await self._listen_for_scrapes()
-        for task_fn in (
-            self._mesh.run,
-            self._follower.run,
-            self._pull_from_seeds,
-            self._tick,
-            self._sweep,
-            self._announce_watch,
-            self._ping_peers,
-            self._renew_record,
-            self._check_settings,
+        ready_listener = listener.Listener(
+            self._cfg.ready_address, self._readiness_gateway.connection
+        )
+        http_listener = listener.Listener(self._cfg.http_address, self._gateway.connection)
+        metrics_listener = self._listen_for_scrapes()
+        for name, task_fn in (
+            ("mesh", self._mesh.run),
+            ("follower", self._follower.run),
+            ("seeds", self._pull_from_seeds),
+            ("tick", self._tick),
+            ("sweep", self._sweep),
+            ("announce-watch", self._announce_watch),
+            ("ping-peers", self._ping_peers),
+            (RECORD_TASK, self._renew_record),
+            ("settings", self._check_settings),
         ):
-            self._start_task(task_fn())
+            self._supervisor.start(name, task_fn)
         logs.event("started", address=self._cfg.http_address)
         await self._leaving.wait()
         await self._shut_down(http_listener)
         if metrics_listener is not None:
-            metrics_listener.close()
-        ready_listener.close()
+            await metrics_listener.close()
+        await ready_listener.close()
 
     # Startup and shutdown
 
@@ -164,42 +172,31 @@
             bounds.retry_window_s,
         )
 
-    async def _listen(self, endpoint: gateway.Gateway, address: str) -> asyncio.Server:
-        host, _, port = address.rpartition(":")
-        return await self._loop.create_server(
-            endpoint.connection, host, int(port), backlog=BACKLOG, reuse_address=True
-        )
-
-    async def _listen_for_scrapes(self) -> asyncio.Server | None:
+    def _listen_for_scrapes(self) -> listener.Listener | None:
         """Serves the metrics; if the port is in use, the VM runs without them."""
         address = f"{self._cfg.address}:{METRICS_PORT}"
         try:
-            return await self._listen(self._metrics_gateway, address)
+            return listener.Listener(address, self._metrics_gateway.connection)
         except OSError as exc:
             logs.event("metrics not served", level="WARNING", address=address, error=str(exc))
             return None
 
-    def _start_task(self, coro) -> None:
-        task = self._loop.create_task(coro)
-        self._tasks.add(task)
-        task.add_done_callback(self._on_task_done)
-
-    def _on_task_done(self, task: asyncio.Task) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            logs.event("task failed", level="ERROR", error=repr(task.exception()))
-            self._leaving.set()
+    async def _shut_down(self, http_listener: listener.Listener) -> None:
+        """Answers everything that has arrived, and then stops.
 
-    async def _shut_down(self, http_listener: asyncio.Server) -> None:
-        started = self._loop.time()
+        The load balancer may send new connections until the end, if few VMs of the zone are ready.
+        """
+        deadline = self._loop.time() + self._cfg.bounds.grace_s - EXIT_MARGIN_S
         logs.event("shutting down")
         self._view.members.leaving = True
         self._gateway.drain()
-        self._start_task(self._delete_record())
+        self._supervisor.start("delete-record", self._delete_record)
         await asyncio.sleep(ACCEPT_AFTER_TERM_S)
-        http_listener.close()
-        self._gateway.close_idle()
-        await self._gateway.finish(started + self._cfg.bounds.grace_s - EXIT_MARGIN_S)
+        self._gateway.refuse_new()
+        await self._gateway.finish(deadline - LAST_ANSWERS_S)
+        await http_listener.close()
+        await self._gateway.finish(deadline)
+        self._gateway.close()
         self._upstream.close()
         self._mesh.close()
         logs.event("stopped")
@@ -300,20 +297,26 @@
         while not self._follower.is_complete:
             await asyncio.sleep(TICK_S)
         key, value = self._view.record()
+        written_under: int | None = None
         while True:
             started = self._loop.time()
             watches = self._role.should_watch(started)
             timeout_s = WATCHER_RENEWAL_TIMEOUT_S if watches else store.CALL_TIMEOUT_S
             try:
                 if self._lease is None:
-                    lease = await self._client.lease(LEASE_S)
-                    await self._client.put(key, value, lease)
-                    self._lease = lease
+                    self._lease = await self._client.lease(LEASE_S)
+                if written_under != self._lease:
+                    await self._client.put(key, value, self._lease)
+                    written_under = self._lease
                 elif not await self._client.renew_lease(self._lease, timeout_s):
                     self._lease = None
                     continue
                 if watches:
                     self._store_state.succeeded(self._loop.time())
+            except errors.StoreRefusedError as exc:
+                # The lease has ended before the record was written under it.
+                self._lease = None
+                logs.event("record not written", level="WARNING", error=str(exc))
             except errors.StoreError as exc:
                 if watches:
                     self._store_state.failed(self._loop.time(), since=started)
@@ -322,6 +325,12 @@
             await asyncio.sleep(interval_s * self._rng.uniform(0.9, 1.1))
 
     async def _delete_record(self) -> None:
+        """Deletes the VM's record.
+
+        The renewal is stopped first. A write of it that is still on its way names the lease, so it
+        has no effect once the lease is revoked.
+        """
+        await self._supervisor.stop(RECORD_TASK)
         lease, self._lease = self._lease, None
         try:
             if lease is not None:
@@ -498,6 +507,8 @@
             source("mesh_messages", "Messages between VMs", "event", lambda: self._mesh.counters),
             source("shard_events", "Decisions of this VM's shards", "event", self._read_decisions),
             source("shards", "Requests in this VM's shards", "state", self._read_shards, False),
+            source("caller_events", "Connections ended", "event", lambda: self._gateway.events),
+            source("task_failures", "Errors of tasks", "task", lambda: self._supervisor.failures),
             source("broken_exchanges", "Broken exchanges", "reason", lambda: self._upstream.broken),
             source("state", "What this VM has", "of", self._read_state, False),
         ]
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -1,10 +1,18 @@
 """Callers' connections: order of answers, shutdown without loss, cancellation on disconnect."""
 
 import asyncio
+import time
+
+import pytest
 
 from dotterelfront import errors, gateway, relay
 
 GET = b"GET /%d HTTP/1.1\r\nHost: shop\r\n\r\n"
+POST = b"POST /p HTTP/1.1\r\nHost: shop\r\nContent-Length: 4\r\n\r\nbody"
+CHUNKED_POST = (
+    b"POST /c HTTP/1.1\r\nHost: shop\r\nRequest-Deadline: 9000\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n"
+)
 
 
 class Transport:
@@ -12,15 +20,18 @@
 
     def __init__(self):
         self.written, self.ended, self.closed, self.paused = b"", False, False, False
+        self.unsent, self.reset = 0, False
 
     def write(self, data):
         self.written += data
 
     def write_eof(self):
+        if self.reset:
+            raise OSError(107, "not connected")
         self.ended = True
 
-    def can_write_eof(self):
-        return True
+    def get_write_buffer_size(self):
+        return self.unsent
 
     def close(self):
         self.closed = True
@@ -44,10 +55,10 @@
 class Caller:
     """A connection whose requests wait until the test answers them by path."""
 
-    def __init__(self, get_limits=gateway.ConnectionLimits):
+    def __init__(self, get_limits=gateway.ConnectionLimits, **options):
         self.waiting = {}
         self.cancelled = []
-        self.gateway = gateway.Gateway(self.handle, get_limits)
+        self.gateway = gateway.Gateway(self.handle, get_limits, **options)
         self.conn = self.gateway.connection()
         self.transport = Transport()
         self.conn.connection_made(self.transport)
@@ -138,19 +149,183 @@
     run(scenario)
 
 
-def test_close_idle_spares_connections_with_a_pending_request():
-    """Guards against a request on a persistent connection that arrives too late in a shutdown."""
+def test_shutdown_answers_all_that_has_arrived_before_it_closes():
+    """Guards against requests that are lost in a planned stop.
+
+    One connection is idle, one has a pending request, one has half of a body, and on one a request
+    arrives during the shutdown.
+    """
 
     async def scenario():
-        idle, busy = Caller(), Caller()
+        idle, busy, half, late = Caller(), Caller(), Caller(), Caller()
         await busy.send(GET % 1)
-        for caller in (idle, busy):
+        await half.send(POST[:-2])
+        callers = (idle, busy, half, late)
+        for caller in callers:
             caller.gateway.drain()
-            caller.gateway.close_idle()
-        assert [c.transport.ended for c in (idle, busy)] == [True, False]
+            caller.gateway.refuse_new()
+            caller.conn._idle_since -= gateway.IDLE_AT_SHUTDOWN_S
+        deadline = asyncio.get_running_loop().time() + 5.0
+        stops = [asyncio.ensure_future(caller.gateway.finish(deadline)) for caller in callers]
+        await late.send(GET % 2)
+        await asyncio.sleep(3 * gateway.READ_TURN_S)
+        assert [stop.done() for stop in stops] == [True, False, False, True]
+        assert [c.transport.ended for c in callers] == [True, False, False, True]
+        await half.send(POST[-2:])
         await busy.answer("/1")
+        await asyncio.gather(*stops)
         assert busy.transport.bodies == [b"/1"]
-        assert busy.transport.ended
+        for caller in (half, late):
+            assert b" 503 " in caller.transport.written
+            assert b"Retry-After: 0.10" in caller.transport.written
+        for caller in (busy, half, late):
+            assert b"Connection: close" in caller.transport.written
+            assert caller.transport.ended
+
+    run(scenario)
+
+
+def test_shutdown_waits_until_answers_are_sent():
+    """Guards against a large answer that is cut off on a slow link."""
+
+    async def scenario():
+        caller = Caller()
+        caller.transport.unsent = 1
+        deadline = asyncio.get_running_loop().time() + 5.0
+        stop = asyncio.ensure_future(caller.gateway.finish(deadline))
+        await asyncio.sleep(2 * gateway.READ_TURN_S)
+        assert not stop.done()
+        caller.transport.unsent = 0
+        await asyncio.wait_for(stop, 1.0)
+
+    run(scenario)
+
+
+def test_a_reset_connection_is_aborted_at_its_end():
+    """Guards against an unhandled error when the caller has reset the connection."""
+
+    async def scenario():
+        caller = Caller()
+        caller.transport.reset = True
+        caller.conn.close()
+        assert caller.transport.closed
+
+    run(scenario)
+
+
+# Callers that send or read without end
+
+
+@pytest.mark.parametrize(
+    ("first", "step", "ends_after_s"),
+    [
+        (b"GET /1 HTTP/1.1\r\nX: ", b"y", 3.0),
+        (POST[:-2], b"", 3.0),
+        (CHUNKED_POST, b"40\r\n" + b"x" * 64 + b"\r\n", 9.0),
+    ],
+)
+def test_a_trickled_request_ends_in_time(first, step, ends_after_s):
+    """Guards against callers that keep a connection with a request that never ends."""
+
+    async def scenario():
+        limits = gateway.ConnectionLimits(head_timeout_s=3.0)
+        caller = Caller()
+        start = asyncio.get_running_loop().time()
+        await caller.send(first)
+        elapsed_s = 0.0
+        while not caller.transport.ended and elapsed_s < 20.0:
+            elapsed_s += 1.0
+            if step:
+                await caller.send(step)
+                caller.conn._last_read = start + elapsed_s
+            caller.conn.expire(limits, start + elapsed_s)
+        assert b" 408 " in caller.transport.written
+        assert ends_after_s < elapsed_s <= ends_after_s + 1.0
+
+    run(scenario)
+
+
+def test_a_body_of_many_small_pieces_is_rejected():
+    """Guards against a body whose framing takes most of the processor time of a VM."""
+
+    async def scenario():
+        caller = Caller()
+        await caller.send(CHUNKED_POST)
+        started = time.process_time()
+        await caller.send(b"1\r\nx\r\n" * (gateway.READ_BYTES // 6))
+        assert time.process_time() - started < 0.05
+        assert b" 400 " in caller.transport.written
+
+    run(scenario)
+
+
+def test_a_caller_that_does_not_read_is_disconnected():
+    """Guards against answers that fill the memory of a VM, and against requests without end."""
+
+    async def scenario():
+        caller = Caller()
+        await caller.send(GET % 1 + GET % 2)
+        await caller.answer("/1")
+        caller.transport.unsent = 90_000
+        caller.conn.pause_writing()
+        await caller.answer("/2")
+        await caller.send(GET % 3)
+        assert (caller.transport.bodies, caller.transport.paused) == ([b"/1"], True)
+        assert "/3" not in caller.waiting
+        limits, now = gateway.ConnectionLimits(), asyncio.get_running_loop().time()
+        caller.conn.expire(limits, now)
+        caller.transport.unsent = 80_000
+        for elapsed_s in (9.0, 18.0):
+            caller.conn.expire(limits, now + elapsed_s)
+            assert not caller.transport.closed
+        caller.conn.expire(limits, now + 20.0)
+        assert caller.transport.closed
+        assert caller.gateway.events == {"caller does not read": 1}
+
+    run(scenario)
+
+
+def test_answers_continue_when_the_caller_reads_again():
+    async def scenario():
+        caller = Caller()
+        await caller.send(GET % 1 + GET % 2)
+        caller.conn.pause_writing()
+        await caller.answer("/1")
+        await caller.answer("/2")
+        assert caller.transport.bodies == []
+        caller.conn.resume_writing()
+        assert caller.transport.bodies == [b"/1", b"/2"]
+        assert not caller.transport.paused
+
+    run(scenario)
+
+
+def test_callers_share_a_buffer_of_limited_size():
+    """Guards against large requests that together fill the memory of a VM.
+
+    The largest incomplete request is refused as not run; a small one passes.
+    """
+
+    async def scenario():
+        callers = [Caller(buffer_bytes=100_000)]
+        callers += [Caller() for _ in range(2)]
+        shared = callers[0].gateway
+        for caller in callers[1:]:
+            caller.gateway = shared
+            caller.conn = shared.connection()
+            caller.conn.connection_made(caller.transport)
+        head = b"POST /%d HTTP/1.1\r\nHost: h\r\nContent-Length: 90000\r\n\r\n"
+        await callers[0].send(head % 1 + b"x" * 60_000)
+        await callers[1].send(head % 2 + b"x" * 50_000)
+        await callers[2].send(GET % 3)
+        assert b" 503 " in callers[0].transport.written
+        assert b"Retry-After" in callers[0].transport.written
+        assert callers[1].transport.written == b""
+        assert "/3" in callers[0].waiting
+        assert shared.buffered_bytes == 50_000
+        for caller in callers:
+            caller.conn.connection_lost(None)
+        assert shared.buffered_bytes == 0
 
     run(scenario)
 
