Stop VMs in series under load in the soak

Change: the soak knows a request that was sent and cut off, and reports it if it falls into a planned stop without another fault. Callers go on to use VMs that are leaving, as the platform does with few ready VMs.

--- a/soak/caller.py
+++ b/soak/caller.py
@@ -21,8 +21,16 @@
     result = observations.results[request_id] = records.Result(kind, path, loop.time())
     try:
         async with asyncio.timeout(DEADLINE_S):
-            res, body = await _send_request(vm, request_id, kind, path)
-    except (OSError, TimeoutError, h11.RemoteProtocolError):
+            reader, writer = await asyncio.open_connection(vm.host, fleet.HTTP_PORT)
+    except (OSError, TimeoutError):
+        return result
+    try:
+        async with asyncio.timeout_at(result.sent_at + DEADLINE_S):
+            res, body = await _send_request(reader, writer, request_id, kind, path)
+    except TimeoutError:
+        return result
+    except (OSError, h11.RemoteProtocolError):
+        result.was_cut = True
         return result
     result.status = res.status_code
     if 200 <= res.status_code < 300:
@@ -33,8 +41,13 @@
     return result
 
 
-async def _send_request(vm: fleet.FleetVm, request_id: str, kind: str, path: str):
-    reader, writer = await asyncio.open_connection(vm.host, fleet.HTTP_PORT)
+async def _send_request(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    request_id: str,
+    kind: str,
+    path: str,
+):
     try:
         conn = h11.Connection(h11.CLIENT)
         body = b"order " * 50 if kind == "unsafe" else b""
@@ -80,6 +93,8 @@
         self._vms, self._observations, self._rng = vms, observations, rng
         self.paths = {"safe": ["/stock/"], "unsafe": ["/orders/"]}
         self.ready: list[fleet.FleetVm] = []
+        self.only_ready = True
+        """Whether requests go to ready VMs only. A load balancer with few ready VMs uses all."""
         self._sent_count = 0
 
     async def run(self, rate_per_s: float) -> None:
@@ -89,7 +104,8 @@
             kind = self._rng.choice(["safe", "unsafe"])
             path = self._rng.choice(self.paths[kind]) + "1"
             self._sent_count += 1
-            vm = self._rng.choice(self.ready or self._vms)
+            ready = self.ready if self.only_ready else []
+            vm = self._rng.choice(ready or self._vms)
             request_id = f"id-{self._sent_count}"
             task = asyncio.ensure_future(call(vm, request_id, kind, path, self._observations))
             tasks.add(task)
--- a/soak/play.py
+++ b/soak/play.py
@@ -20,6 +20,9 @@
 SETTLE_S = 4.0
 """Time after a fault in which time bounds are not checked."""
 START_TIMEOUT_S = 20.0
+SERIAL_STOPS = 4
+GRACE_S = 6.0
+"""Time after SIGTERM within which a VM ends, as its settings state."""
 DRAIN_PERIOD_S = 3.0
 """Time for which a draining server still serves after it has updated its record."""
 Result = TypeVar("Result")
@@ -204,6 +207,20 @@
     await _signal_vms(env, signal.SIGTERM, 1)
 
 
+async def stop_in_series(env: Environment) -> None:
+    """Stops VMs one after the other, while callers still use the ones that are leaving."""
+    since = env.now
+    env.load.only_ready = False
+    for vm in env.rng.sample(env.vms, SERIAL_STOPS):
+        vm.send(signal.SIGTERM)
+        await asyncio.sleep(env.rng.uniform(0.5, 1.5))
+    await asyncio.sleep(GRACE_S)
+    env.load.only_ready = True
+    env.observations.stop_windows.append((since, env.now))
+    # The last requests of the window end before the fleet may be killed.
+    await asyncio.sleep(caller.DEADLINE_S)
+
+
 async def _suspend(env: Environment) -> None:
     since, vm = env.now, env.rng.choice(env.vms)
     vm.send(signal.SIGSTOP)
@@ -276,6 +293,7 @@
     "kill": _kill,
     "kill all": _kill_all,
     "terminate": _terminate,
+    "stops": stop_in_series,
     "freeze": _suspend,
     "store": _store_fault,
     "gray": _make_servers_gray,
--- a/soak/records.py
+++ b/soak/records.py
@@ -37,6 +37,8 @@
     status: int = 0
     is_correct: bool = True
     """Whether a 2xx response had the complete body and the signature for this request."""
+    was_cut: bool = False
+    """Whether the connection ended after the request was sent, without a complete response."""
 
 
 @dataclasses.dataclass
@@ -53,6 +55,8 @@
     """Time at which the store acknowledged a new route, by path prefix."""
     fault_windows: list[tuple[float, float]] = dataclasses.field(default_factory=list)
     """Spans in which time bounds are not checked: from a fault to a few seconds after its end."""
+    stop_windows: list[tuple[float, float]] = dataclasses.field(default_factory=list)
+    """Spans of planned stops of VMs, in which no request may be cut off."""
 
 
 def violations(observations: Observations) -> list[str]:
@@ -71,6 +75,8 @@
             lines.append(f"{request_id}: success with a wrong or incomplete response")
         if 200 <= result.status < 300 and not runs:
             lines.append(f"{request_id}: success without an execution")
+        if result.was_cut and _is_in_planned_stop(observations, result.sent_at):
+            lines.append(f"{request_id}: cut off in a planned stop")
         if _is_wrong_404(observations, result):
             lines.append(f"{request_id}: 404 on {result.path}, although its route is configured")
     for request_id in sorted(observations.runs.keys() - observations.results.keys()):
@@ -102,6 +108,12 @@
     return _is_undisturbed(observations, added_at, result.sent_at)
 
 
+def _is_in_planned_stop(observations: Observations, sent_at: float) -> bool:
+    return _is_undisturbed(observations, sent_at, sent_at) and any(
+        start <= sent_at <= end for start, end in observations.stop_windows
+    )
+
+
 def _is_undisturbed(observations: Observations, start: float, end: float) -> bool:
     return not any(
         window_start < end and window_end > start
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -74,6 +74,36 @@
     assert records.violations(observations) == []
 
 
+@pytest.mark.parametrize(
+    ("sent_at", "was_cut", "expected"),
+    [(11.0, True, 1), (11.0, False, 0), (13.0, True, 0), (10.5, True, 0)],
+)
+def test_request_cut_off_in_a_planned_stop_is_reported(sent_at, was_cut, expected):
+    """Guards against requests that are lost in a stop, except while a fault acts too."""
+    observations = observe(status=0)
+    result = observations.results["a"]
+    result.sent_at, result.was_cut = sent_at, was_cut
+    observations.stop_windows = [(10.0, 12.0)]
+    observations.fault_windows = [(10.4, 10.8)]
+    assert len(records.violations(observations)) == expected
+
+
+def test_stops_in_series_cut_off_no_request(tmp_path):
+    """Guards against requests that are accepted and then lost while VMs stop under load."""
+
+    async def scenario(env):
+        load = asyncio.ensure_future(env.load.run(100.0))
+        try:
+            await play.stop_in_series(env)
+        finally:
+            load.cancel()
+        return env.observations
+
+    observations = asyncio.run(play.run_with_fleet(11, tmp_path, scenario))
+    assert records.violations(observations) == []
+    assert sum(result.status == 200 for result in observations.results.values()) > 100
+
+
 def test_short_soak_violates_no_rule(tmp_path):
     """Guards against failures that only several VM processes show together, beyond unit tests."""
     outcome = asyncio.run(play.run_seed(7, 8.0, tmp_path))
