Give VMs whole copies when removals are not known

Cause: a VM that has just listed the store knows no tombstones, but answered pulls with its changes since any revision; the receiver then kept servers that had left, for good. A whole copy was merged instead of replacing the old one, and a VM that was behind by more than the tombstones' 60 s got no answer at all. A restarted VM could take another's empty copy for complete. Change: a copy tells for which revisions its changes are exact; for others the whole copy is sent and replaces an older one. Records that a complete copy lacks up to its revision are not accepted again. Only complete copies are given away. Open: a key that is created and removed while a watcher re-lists the store is handled by refusing such changes; the VM then pulls the whole copy.

--- a/dotterelfront/fleetmodel.py
+++ b/dotterelfront/fleetmodel.py
@@ -18,10 +18,15 @@
 
 
 class Changes(msgspec.Struct, frozen=True, array_like=True):
-    """Records that changed up to ``revision``."""
+    """Records that changed up to ``revision``.
+
+    ``from_listing`` is set if removals of keys that were created after the start revision may be
+    missing. The changes are then of no use to a copy with a later revision than the start.
+    """
 
     records: tuple[Record, ...]
     revision: int
+    from_listing: bool = False
 
 
 class Instance(msgspec.Struct, frozen=True):
--- a/dotterelfront/follow.py
+++ b/dotterelfront/follow.py
@@ -165,14 +165,33 @@
                 delay_s = min(BACKOFF_MAX_S, 2 * delay_s)
 
     def apply_changes(self, after: int, changes: fleetmodel.Changes) -> bool:
-        """Applies changes from another VM; returns False when this copy lacks earlier changes."""
-        if after > self.local_copy.revision:
+        """Applies changes from another VM; returns False when this copy lacks earlier changes.
+
+        Changes after revision 0 are the whole copy of the other VM. It replaces this one, so that
+        keys which were removed long ago are removed here too, unless it is older than this one.
+        """
+        revision = self.local_copy.revision
+        is_whole = after == 0
+        skips = changes.from_listing and after < revision < changes.revision
+        if is_whole and changes.revision < revision or not is_whole and (after > revision or skips):
             return False
         self.is_complete = True
         self._lagging_since = None
-        self._notify_changed(self.local_copy.merge(changes, _now()))
+        apply = self.local_copy.replace if is_whole else self.local_copy.merge
+        self._notify_changed(apply(changes, _now()))
         return True
 
+    def changes_for(self, after: int) -> tuple[int, fleetmodel.Changes] | None:
+        """Returns the changes for a VM that is complete up to a revision, and their start revision.
+
+        If removals after that revision are not known, this is the whole copy, from revision 0.
+        Returns None while this copy is not complete.
+        """
+        if not self.is_complete:
+            return None
+        changes = self.local_copy.since(after)
+        return (0, self.local_copy.since(0)) if changes is None else (after, changes)
+
     def should_pull(self, revision: int, same_zone: bool) -> bool:
         """Whether to pull from a VM that has changes up to ``revision``.
 
--- a/dotterelfront/node.py
+++ b/dotterelfront/node.py
@@ -446,9 +446,10 @@
             self._send(notice.reply_to, pull)
 
     def _on_pull(self, message: fleet_messages.Pull) -> None:
-        changes = self._follower.local_copy.since(message.after)
-        if changes is not None:
-            push = fleet_messages.Push(message.after, changes, message.forward_to_zone)
+        found = self._follower.changes_for(message.after)
+        if found is not None:
+            after, changes = found
+            push = fleet_messages.Push(after, changes, message.forward_to_zone)
             self._send(message.reply_to, push)
 
     def _on_push(self, message: fleet_messages.Push) -> None:
--- a/dotterelfront/replica.py
+++ b/dotterelfront/replica.py
@@ -7,6 +7,7 @@
     replica = Replica()
     replica.merge(changes, now=3.0)       # keys that changed
     replica.since(411)                    # Changes for a VM that is complete up to 411
+    replica.replace(listing, now=9.0)     # applies a listing, or the whole copy of another VM
 
 The module does no I/O, and the caller passes the time.
 """
@@ -33,6 +34,9 @@
         self._entries: dict[str, _Entry] = {}
         self._purged_revision = 0
         """Highest revision of the purged tombstones."""
+        self._listed_revision = 0
+        """Revision of the last listing; keys that it lacks have no tombstone here."""
+        self._revision_before_listing = 0
 
     def get(self, key: str) -> bytes | None:
         entry = self._entries.get(key)
@@ -53,8 +57,7 @@
             entry = self._entries.get(record.key)
             if entry is not None and entry.record.revision >= record.revision:
                 continue
-            if entry is None and record.revision <= self._purged_revision:
-                # The key was removed and its tombstone purged; else this copy would have it.
+            if entry is None and record.revision <= self._absent_until:
                 continue
             if entry is None or entry.record.value != record.value:
                 changed.add(record.key)
@@ -64,11 +67,12 @@
         return changed
 
     def replace(self, listing: fleetmodel.Changes, now: float) -> set[str]:
-        """Applies a complete listing; returns the changed keys.
+        """Applies a complete listing, or another complete copy; returns the changed keys.
 
         Keys that the listing lacks were removed at its revision or before. A key with a later
         revision than the listing's stays.
         """
+        before = self.revision
         listed_keys = {record.key for record in listing.records}
         removals = tuple(
             fleetmodel.Record(key, listing.revision, None)
@@ -77,21 +81,32 @@
         )
         # The listing may have keys of any age that this copy missed.
         purged_revision, self._purged_revision = self._purged_revision, 0
+        self._listed_revision = 0
         changed = self.merge(fleetmodel.Changes(listing.records + removals, listing.revision), now)
         self._purged_revision = max(self._purged_revision, purged_revision)
+        self._listed_revision, self._revision_before_listing = listing.revision, before
         return changed
 
     def since(self, revision: int) -> fleetmodel.Changes | None:
-        """Returns the changes after a revision, None when tombstones after it were purged.
+        """Returns the changes after a revision, None if removals after it are not known.
 
-        Revision 0 returns all records, also after a purge.
+        They are unknown if their tombstones were purged, or if a listing skipped them. Revision 0
+        returns all records, from which ``replace`` makes a complete copy.
         """
         if 0 < revision < self._purged_revision:
             return None
+        skipped = revision < self._listed_revision
+        if skipped and revision not in (0, self._revision_before_listing):
+            return None
         records = tuple(
             entry.record for entry in self._entries.values() if entry.record.revision > revision
         )
-        return fleetmodel.Changes(records, self.revision)
+        return fleetmodel.Changes(records, self.revision, from_listing=skipped)
+
+    @property
+    def _absent_until(self) -> int:
+        """Revision up to which a key that this copy lacks has been removed."""
+        return max(self._purged_revision, self._listed_revision)
 
     def _purge_tombstones(self, now: float) -> None:
         for key, entry in list(self._entries.items()):
