Let clocks run on while a VM is suspended, and reject times that are no numbers

Cause: time.monotonic stands still while a VM is suspended, so a VM that was paused for seconds acted on grants, heartbeats and deadlines that had run out. A deadline that passed while connecting was still sent. remaining_s of NaN or infinity kept a slot for ever. Change: event loop and tasks go by CLOCK_BOOTTIME; a request whose deadline has passed is not sent and counts as not run; messages with a time that is not finite, or over 600 s, are malformed. A store listing must advance. Also: Proxy.run starts the deliverer once; python -m bench.membership runs again; the stand-in's watch answers 410 for all lost history; the receiving loop pauses after an error of its socket; the test of library errors no longer breaks idle workers of its listener (the unhandled thread exception).

--- a/bench/membership.py
+++ b/bench/membership.py
@@ -45,10 +45,10 @@
     network = _network()
     vms = _vms(network, count)
     stand_in = store.Store()
-    stand_in.vms = json.dumps({"vms": [_as_dict(vm) for vm in vms]}).encode()
-    server = cheroot.wsgi.Server(
-        (f"{network}.250", STORE_PORT), store.application(stand_in), numthreads=16
-    )
+    faults = store.Faults(stand_in)
+    faults.set_vms(json.dumps({"vms": [_as_dict(vm) for vm in vms]}).encode())
+    application = store.application(stand_in, faults)
+    server = cheroot.wsgi.Server((f"{network}.250", STORE_PORT), application, numthreads=16)
     server.prepare()
     threading.Thread(target=server.serve, daemon=True).start()
     url = f"http://{network}.250:{STORE_PORT}"
--- a/dotterelfront/backends.py
+++ b/dotterelfront/backends.py
@@ -26,7 +26,7 @@
 import urllib3.util
 import urllib3.util.response
 
-from dotterelfront import errors, headers, health, models
+from dotterelfront import clock, errors, headers, health, models
 
 CONNECT_TIMEOUT_S = 0.25
 MAX_IDLE_S = 4.0
@@ -258,7 +258,7 @@
     def __init__(
         self,
         connect: Callable[[models.ServerId], socket.socket] | None = None,
-        now: Callable[[], float] = time.monotonic,
+        now: Callable[[], float] = clock.now,
     ):
         self._connect = connect or open_socket
         self.now = now
--- a/dotterelfront/config_follower.py
+++ b/dotterelfront/config_follower.py
@@ -17,12 +17,11 @@
 import queue
 import random
 import threading
-import time
 from collections.abc import Callable, Iterable
 
 from loguru import logger
 
-from dotterelfront import errors, logs, messages, models, publish, revisions, store
+from dotterelfront import clock, errors, logs, messages, models, publish, revisions, store
 
 WATCH_TIMEOUT_S = 5.0
 """Timeout of a watcher's long poll. It is well below ``WATCHER_LOST_S`` because only the end of a
@@ -117,7 +116,7 @@
         on_change: Callable[[models.Tables], None],
         ready: Callable[[], bool] = lambda: True,
         rng: random.Random | None = None,
-        now: Callable[[], float] = time.monotonic,
+        now: Callable[[], float] = clock.now,
     ):
         self._vm = vm
         self._client = client
--- a/dotterelfront/dispatch.py
+++ b/dotterelfront/dispatch.py
@@ -11,6 +11,7 @@
 
 from dotterelfront import (
     backends,
+    clock,
     errors,
     health,
     messages,
@@ -67,7 +68,7 @@
     """``wall`` is in seconds since the epoch, comparable between VMs; ``monotonic`` is local."""
 
     wall: Callable[[], float] = time.time
-    monotonic: Callable[[], float] = time.monotonic
+    monotonic: Callable[[], float] = clock.now
 
 
 class CallIds:
--- a/dotterelfront/exchange.py
+++ b/dotterelfront/exchange.py
@@ -320,6 +320,7 @@
             )
     except (OSError, TimeoutError) as exc:
         raise errors.ConnectError(f"{address}: {exc or 'timeout'}") from exc
+    conn.idle_since = loop.time()
     _enable_keepalive(transport.get_extra_info("socket"))
     return conn
 
--- a/dotterelfront/fleet_messages.py
+++ b/dotterelfront/fleet_messages.py
@@ -9,12 +9,16 @@
 of its zone, and the links of the smallest VMs carry 10 Mbit/s.
 """
 
+import math
 import zlib
 
 import msgspec
 
 from dotterelfront import errors, fleetmodel, health, models, pools
 
+MAX_REMAINING_S = 600.0
+"""Longest time until the deadline of a request that an owner accepts."""
+
 
 class Message(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """Base of all messages."""
@@ -42,6 +46,11 @@
     is_retry: bool
     avoid: tuple[models.ServerId, ...] = ()
 
+    def __post_init__(self):
+        # A slot with a deadline that is no number would never be reclaimed.
+        if not self.remaining_s <= MAX_REMAINING_S:
+            raise ValueError(f"remaining_s is {self.remaining_s}")
+
 
 class SlotWaiting(Message, frozen=True):
     """The request is queued for a slot."""
@@ -68,6 +77,10 @@
     retry_after_s: float
     expected_wait_s: float
 
+    def __post_init__(self):
+        if not math.isfinite(self.retry_after_s) or math.isnan(self.expected_wait_s):
+            raise ValueError(f"retry {self.retry_after_s}, wait {self.expected_wait_s}")
+
 
 class SlotRelease(Message, frozen=True):
     """The request has ended, or is no longer queued."""
@@ -93,6 +106,10 @@
     store_available_s: float | None
     reply_requested: bool = False
 
+    def __post_init__(self):
+        if self.store_available_s is not None and not math.isfinite(self.store_available_s):
+            raise ValueError(f"store_available_s is {self.store_available_s}")
+
 
 class Notice(Message, frozen=True):
     """Announces a change, up to ``revision``, that all VMs must apply within seconds."""
--- a/dotterelfront/heartbeat.py
+++ b/dotterelfront/heartbeat.py
@@ -13,10 +13,10 @@
 import queue
 import random
 import threading
-import time
 from collections.abc import Callable
 
 from dotterelfront import (
+    clock,
     control,
     errors,
     logs,
@@ -58,7 +58,7 @@
         on_change: Callable[[tuple[models.Vm, ...]], None] = lambda vms: None,
         on_list: Callable[[vmlist.VmList], None] = lambda vm_list: None,
         on_leaving_servers: Callable[[tuple[models.ServerId, ...]], None] = lambda servers: None,
-        now: Callable[[], float] = time.monotonic,
+        now: Callable[[], float] = clock.now,
         rng: random.Random | None = None,
     ):
         self._now = now
--- a/dotterelfront/mesh.py
+++ b/dotterelfront/mesh.py
@@ -10,6 +10,7 @@
 timeout, and ``reset`` drops the connection to a peer that does not reply.
 """
 
+import asyncio
 import collections
 from collections.abc import Callable
 
@@ -22,6 +23,8 @@
 RECONNECT_MIN_MS = 50
 RECONNECT_MAX_MS = 1_000
 """Bounds of the delay between connection attempts; a restarted VM is reached within a second."""
+RECEIVE_PAUSE_S = 0.05
+"""Pause after an error of the listening socket, which may occur again at once."""
 MAX_PEERS = 512
 """Maximum number of open sockets to peers; the least recently used one is closed first."""
 
@@ -55,6 +58,7 @@
                 return
             except pynng.NNGException as exc:
                 logs.event("receiving a message failed", level="WARNING", error=str(exc))
+                await asyncio.sleep(RECEIVE_PAUSE_S)
                 continue
             self._receive(raw)
 
--- a/dotterelfront/node.py
+++ b/dotterelfront/node.py
@@ -15,6 +15,7 @@
 
 from dotterelfront import (
     catalog,
+    clock,
     errors,
     fleet_messages,
     fleet_view,
@@ -576,7 +577,8 @@
     """Runs a VM with the settings file at ``path``; raises ``errors.ConfigurationError``."""
     cfg = boot.load(path)
     logs.configure(cfg.log_format, cfg.vm_id)
-    asyncio.run(_run(cfg, path))
+    with asyncio.Runner(loop_factory=clock.EventLoop) as runner:
+        runner.run(_run(cfg, path))
 
 
 def main() -> None:
--- a/dotterelfront/owner.py
+++ b/dotterelfront/owner.py
@@ -21,13 +21,12 @@
 import itertools
 import queue
 import threading
-import time
 from collections.abc import Callable, Collection
 
 import msgspec
 from loguru import logger
 
-from dotterelfront import errors, health, limits, models, placement, pools, queueing
+from dotterelfront import clock, errors, health, limits, models, placement, pools, queueing
 
 TICK_S = 0.05
 SECOND_OWNER_DIVISOR = 3
@@ -59,7 +58,7 @@
 class OwnerTask:
     """Owns the shards and runs all steps on one thread; ``now`` is a monotonic clock in seconds."""
 
-    def __init__(self, now: Callable[[], float] = time.monotonic):
+    def __init__(self, now: Callable[[], float] = clock.now):
         self._now = now
         self._mailbox: queue.SimpleQueue = queue.SimpleQueue()
         self._open = True
--- a/dotterelfront/platform/store.py
+++ b/dotterelfront/platform/store.py
@@ -77,6 +77,8 @@
             revision = page.current_rev if revision is None else revision
             if not page.has_more or not page.items:
                 return fleetmodel.Changes(tuple(records), revision)
+            if page.items[-1].key <= after:
+                raise errors.StoreUnavailableError(f"{prefix}: pages of a listing do not advance")
             after = page.items[-1].key
         raise errors.StoreUnavailableError(f"{prefix}: listing has more than {MAX_PAGES} pages")
 
--- a/dotterelfront/proxy.py
+++ b/dotterelfront/proxy.py
@@ -15,6 +15,7 @@
     admin,
     burn,
     claims,
+    clock,
     config_follower,
     control,
     delivery,
@@ -124,7 +125,7 @@
             vms=self._membership.usable,
             caller=self._caller,
             data_port=cfg.data_port,
-            key_claims=claims.Claims(claim_store, time.time, time.monotonic),
+            key_claims=claims.Claims(claim_store, time.time, clock.now),
             peer_slots=max(1, cfg.data_workers // 2),
             call_ids=call_ids,
         )
@@ -158,7 +159,6 @@
         self._control.start()
         self._membership.start()
         self._follower.start()
-        self._deliverer.start()
         threading.Thread(target=self._admin.safe_start, name="admin", daemon=True).start()
         http = threading.Thread(target=self._serve_http, name="http", daemon=True)
         http.start()
--- a/dotterelfront/upstream.py
+++ b/dotterelfront/upstream.py
@@ -80,9 +80,12 @@
             connect_s = min(CONNECT_TIMEOUT_S, remaining_s)
             conn = await exchange.connect(server.address, connect_s, self._budget)
         remaining_s -= asyncio.get_running_loop().time() - started
+        if remaining_s <= 0.0:
+            self._put_idle(server, conn)
+            raise errors.ConnectError("the deadline passed before the request was sent")
         pairs = wire.server_request_headers(req.headers, server.id, remaining_s)
         matches = functools.partial(_is_response_to, req.request_id)
-        timeout_s = max(0.0, remaining_s) + RESPONSE_SLACK_S
+        timeout_s = remaining_s + RESPONSE_SLACK_S
         try:
             res = await conn.send(req.method, req.target, pairs, req.body, timeout_s, matches)
         except errors.BrokenExchangeError as exc:
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -48,7 +48,8 @@
         self.silent_hosts: set[str] = set()
         self.calls: collections.Counter[str] = collections.Counter()
         self._events: collections.deque[dict] = collections.deque(maxlen=HISTORY_EVENTS)
-        self._oldest_revision = 1
+        self._lost_until = 0
+        """Revision up to which events are no longer available."""
         self._leases: dict[int, tuple[float, float]] = {}
         self._changed = asyncio.Event()
         self._servers: list[asyncio.Server] = []
@@ -87,10 +88,12 @@
 
     def discard_history(self) -> None:
         self._events.clear()
-        self._oldest_revision = self.revision
+        self._lost_until = self.revision
         self._notify_watches()
 
     def _record_event(self, event: dict) -> int:
+        if len(self._events) == HISTORY_EVENTS:
+            self._lost_until = self._events[0]["rev"]
         self._events.append(dict(event))
         self._notify_watches()
         return self.revision
@@ -148,7 +151,7 @@
         after, prefix = int(query["after"]), query.get("prefix", "")
         deadline = asyncio.get_running_loop().time() + int(query["wait-ms"]) / 1000
         while True:
-            if after < self._oldest_revision - 1:
+            if after < self._lost_until:
                 return 410, None
             events = [
                 event
--- a/tests/test_fleet_messages.py
+++ b/tests/test_fleet_messages.py
@@ -1,14 +1,16 @@
 """Messages between VMs on the platform: large ones are compressed, malformed ones rejected."""
 
 import json
+import math
 import random
 import zlib
 
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from dotterelfront import errors, fleet_messages, fleetmodel, health
+from dotterelfront import errors, fleet_messages, fleetmodel, health, pools
 
 ROUTES = 1_450
 VMS_OF_A_ZONE = 36
@@ -78,3 +80,26 @@
     """Guards against a decompression bomb, and against uncaught exceptions of libraries."""
     with pytest.raises(errors.MessageError):
         fleet_messages.decode(raw)
+
+
+SLOT_REQUEST = ["SlotRequest", "vm-1", "10.0.0.1:7620", 7, "p", "a", "r", 1, True, 1.0, True, False]
+PING = ["Ping", "vm-1", "10.0.0.1:7620", "a", 1, False, 9, 1.0]
+REFUSAL = ["SlotRefusal", 7, pools.RefusalReason.NO_FREE_SLOT.value, 0.5, math.inf]
+
+
+@pytest.mark.parametrize(
+    ("fields", "position", "values"),
+    [
+        (SLOT_REQUEST, 9, [math.nan, math.inf, 1e9]),
+        (PING, 7, [math.nan, math.inf]),
+        (REFUSAL, 3, [math.nan, math.inf]),
+        (REFUSAL, 4, [math.nan]),
+    ],
+)
+def test_a_time_that_is_no_number_is_rejected(fields, position, values):
+    """Guards against a slot that is never reclaimed, and against a VM that never retries."""
+    fleet_messages.decode(msgspec.msgpack.encode(fields))
+    for value in values:
+        changed = [*fields[:position], value, *fields[position + 1 :]]
+        with pytest.raises(errors.MessageError):
+            fleet_messages.decode(msgspec.msgpack.encode(changed))
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -199,9 +199,15 @@
 def test_every_library_error_is_classified(caller, monkeypatch, kind):
     """Guards against reporting a call as not sent although the peer may have received it."""
 
+    calling_thread, receive = threading.get_ident(), peers._Context.receive
+
     def fail(*args):
         raise kind("failed", 1)
 
+    def fail_for_caller(context, *args):
+        # The idle workers of the listener receive with the same class.
+        return fail() if threading.get_ident() == calling_thread else receive(context, *args)
+
     peer = Peer(_address())
     address = peer.listener.address
     _call_until_sent(caller, address, 1)
@@ -210,7 +216,7 @@
         caller.call(address, _heartbeat(2), LONG_TIMEOUT_S)
     assert (caught.type is errors.PeerNotSentError) == (kind.__name__ in NOT_SENT)
     monkeypatch.setattr(peers._Context, "send", lambda *args: None)
-    monkeypatch.setattr(peers._Context, "receive", fail)
+    monkeypatch.setattr(peers._Context, "receive", fail_for_caller)
     with pytest.raises(errors.PeerReplyLostError):
         caller.call(address, _heartbeat(3), LONG_TIMEOUT_S)
     monkeypatch.undo()
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -47,6 +47,14 @@
     return {name: items, "current-rev": revision, "has-more": more}
 
 
+def test_listing_whose_pages_do_not_advance_is_an_error(monkeypatch):
+    """Guards against a listing without end, which would fill the memory of a VM."""
+    net = Net(monkeypatch, page(7, "a", "b", more=True), page(7, "a", "b", more=True))
+    with pytest.raises(errors.StoreUnavailableError):
+        asyncio.run(net.client.list_all("x/"))
+    assert net.steps == []
+
+
 def test_listing_joins_pages_and_has_the_revision_of_the_first(monkeypatch):
     """Guards against a change between two pages that the following watch misses."""
     net = Net(monkeypatch, page(7, "a", more=True), page(9, "b"))
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -136,3 +136,22 @@
         assert subject.broken == {"fragmented": 1}
 
     run_steps(send(), fail)
+
+
+def test_a_request_whose_deadline_passed_while_connecting_is_not_sent(opened, monkeypatch):
+    """Guards against a VM that was paused for seconds and then sends a request that ran out."""
+
+    async def slow_connect(address, timeout_s, budget):
+        await asyncio.sleep(0.02)
+        opened.append(Connection())
+        return opened[-1]
+
+    monkeypatch.setattr(upstream.exchange, "connect", slow_connect)
+
+    async def send_late(subject):
+        with pytest.raises(errors.ConnectError):
+            await send(remaining_s=0.01)(subject)
+        assert opened[0].sent == []
+        assert not opened[0].closed
+
+    run_steps(send_late)
