Prefer servers to which the VM has an idle connection

Change: a slot request names up to four servers with a usable connection. An owner ranks them before load, except for the last free slot of a server, and ignores them for 15 in 100 requests, which feed new servers.

--- a/dotterelfront/fleet_messages.py
+++ b/dotterelfront/fleet_messages.py
@@ -29,8 +29,9 @@
 
     ``remaining_s`` is the time until the request's deadline. Without ``wait``, the reply is a free
     slot or a refusal at once. ``is_retry`` is set for a retry of a request that was already sent to
-    a server, and ``avoid`` lists servers to grant only when no other one has a free slot. A second
-    message with the same ``call_id`` asks whether the request is still queued.
+    a server, and ``avoid`` lists servers to grant only when no other one has a free slot. Servers
+    in ``connected`` are preferred, which saves a new connection. A second message with the same
+    ``call_id`` asks whether the request is still queued.
     """
 
     sender: models.VmId
@@ -45,6 +46,7 @@
     wait: bool
     is_retry: bool
     avoid: tuple[models.ServerId, ...] = ()
+    connected: tuple[models.ServerId, ...] = ()
 
     def __post_init__(self):
         # A slot with a deadline that is no number would never be reclaimed.
--- a/dotterelfront/pools.py
+++ b/dotterelfront/pools.py
@@ -37,6 +37,9 @@
 """A request is overdue after this many times the 95th percentile of its route."""
 OVERDUE_CAP = 0.25
 """A route whose overdue requests hold this share of the slots is treated as long."""
+EXPLORE_SHARE = 0.15
+"""Share of the requests for which idle connections do not count. They keep the load of the servers
+even, and give new servers their first requests."""
 GRANT_RATE_TAU_S = 1.0
 """Time constant of the moving average of slot time granted to each priority class."""
 
@@ -446,9 +449,13 @@
     def _select_server(self, ticket: queueing.Ticket, now: float) -> models.ServerId | None:
         """Returns the best server with a free slot, or None.
 
-        Servers are ranked by ``avoid``, suspicion, penalty and load; ties are broken at random.
+        Servers are ranked by ``avoid``, suspicion, penalty, an idle connection and load; ties are
+        broken at random. An idle connection does not count for the last slot of a server.
         """
         idempotent = ticket.idempotent
+        connected = ticket.connected
+        if connected and self._rng.random() < EXPLORE_SHARE:
+            connected = frozenset()
         best, best_rank, ties = None, None, 0
         for address, server in self._active.items():
             busy = self._busy[address]
@@ -464,6 +471,7 @@
                 address in ticket.avoid,
                 self._suspicion.log_odds(address, now) if suspect else 0.0,
                 self.health.penalty(address, now),
+                not (address in connected and busy + 1 < usable),
                 busy / usable,
             )
             if best_rank is None or rank < best_rank:
--- a/dotterelfront/queueing.py
+++ b/dotterelfront/queueing.py
@@ -60,6 +60,8 @@
     requeued: bool = False
     avoid: frozenset[models.ServerId] = frozenset()
     """Servers that are used only when no other server has a free slot."""
+    connected: frozenset[models.ServerId] = frozenset()
+    """Servers that are preferred because the caller's VM has an idle connection to them."""
 
 
 class Entry(msgspec.Struct, eq=False):
--- a/dotterelfront/relay.py
+++ b/dotterelfront/relay.py
@@ -189,7 +189,8 @@
     ) -> _Outcome | None:
         """Sends the request to one server; returns None if a retry gets no slot."""
         try:
-            lease = await self._slots.acquire(self._slot_requirements(route, pool, progress))
+            requirements = self._slot_requirements(route, pool, progress)
+            lease = await self._slots.acquire(requirements)
         except errors.OverloadedError:
             if progress.last is None:
                 raise
@@ -269,6 +270,7 @@
             is_retry=progress.sent_attempts > 0,
             avoid=(*progress.avoid, *self._unreachable_servers()),
             objective=progress.objective,
+            connected=self._upstream.connected(pool, route.idempotent),
         )
 
     def _unreachable_servers(self) -> list[models.ServerId]:
--- a/dotterelfront/slot_client.py
+++ b/dotterelfront/slot_client.py
@@ -57,6 +57,8 @@
     avoid: tuple[models.ServerId, ...] = ()
     objective: float = math.inf
     """Time by which a response meets the latency objective of the route."""
+    connected: tuple[models.ServerId, ...] = ()
+    """Servers to which the VM has a connection that the request may reuse."""
 
 
 class SlotLease(msgspec.Struct):
@@ -247,6 +249,7 @@
             wait=wait,
             is_retry=requirements.is_retry,
             avoid=requirements.avoid,
+            connected=requirements.connected,
         )
 
     def _lease(self, owner: models.Vm, call_id: int, server: models.ServerId) -> SlotLease:
--- a/dotterelfront/slot_owner.py
+++ b/dotterelfront/slot_owner.py
@@ -187,6 +187,7 @@
             deadline=call.expires_at,
             enqueued=now,
             avoid=frozenset(message.avoid),
+            connected=frozenset(message.connected),
         )
         self._apply_effects(shard_key, shard.queue.submit(ticket, now, wait=message.wait), now)
         if shard.queue.queued(call.ticket_id):
--- a/dotterelfront/upstream.py
+++ b/dotterelfront/upstream.py
@@ -29,6 +29,8 @@
 servers drop connections that were idle for 0.25 to 0.3 s and reset the next request."""
 IDLE_MARGIN_S = 1.0
 """A connection is not reused within this time before the idle timeout that the server announces."""
+MAX_CONNECTED = 4
+"""Servers with an idle connection that a slot request names, the most recently used ones."""
 MAX_IDLE_PER_SERVER = 8
 """Limit of idle connections to one server. A VM uses fewer slots of a server at once."""
 RESPONSE_SLACK_S = 0.05
@@ -57,6 +59,7 @@
     def __init__(self, budget: read_budget.ReadBudget | None = None):
         self._budget = budget
         self._idle: dict[_PoolKey, list[exchange.Connection]] = {}
+        self._pools: dict[models.ServerId, models.PoolName] = {}
         self.broken: collections.Counter[str] = collections.Counter()
         """Broken exchanges by reason."""
 
@@ -95,8 +98,19 @@
             self._put_idle(server, conn)
         return res
 
+    def connected(self, pool: models.PoolName, idempotent: bool) -> tuple[models.ServerId, ...]:
+        """Returns servers of a pool with a connection that such a request may reuse."""
+        now = asyncio.get_running_loop().time()
+        usable = [
+            (now - idle[-1].idle_since, key[0])
+            for key, idle in self._idle.items()
+            if idle and self._pools.get(key[0]) == pool and _is_usable(idle[-1], idempotent, now)
+        ]
+        return tuple(server for _, server in sorted(usable)[:MAX_CONNECTED])
+
     def close_idle(self, server: models.ServerId) -> None:
         """Closes the idle connections to one server."""
+        self._pools.pop(server, None)
         for key in [key for key in self._idle if key[0] == server]:
             for conn in self._idle.pop(key):
                 conn.close()
@@ -111,13 +125,14 @@
         idle = self._idle.get(_pool_key(server), [])
         while idle:
             conn = idle.pop()
-            if conn.reusable and now - conn.idle_since < _idle_limit_s(conn, idempotent):
+            if _is_usable(conn, idempotent, now):
                 return conn
             conn.close()
         return None
 
     def _put_idle(self, server: fleetmodel.Instance, conn: exchange.Connection) -> None:
         idle = self._idle.setdefault(_pool_key(server), [])
+        self._pools[server.id] = server.pool
         if len(idle) >= MAX_IDLE_PER_SERVER:
             idle.pop(0).close()
         idle.append(conn)
@@ -127,6 +142,10 @@
     return (server.id, server.started_ms)
 
 
+def _is_usable(conn: exchange.Connection, idempotent: bool, now: float) -> bool:
+    return conn.reusable and now - conn.idle_since < _idle_limit_s(conn, idempotent)
+
+
 def _idle_limit_s(conn: exchange.Connection, idempotent: bool) -> float:
     limit_s = IDLE_LIMIT_S if idempotent else IDLE_LIMIT_NON_IDEMPOTENT_S
     if conn.idle_limit_s is not None:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -53,6 +53,9 @@
     def __init__(self, steps):
         self.steps, self.sent, self.reuse = list(steps), [], []
 
+    def connected(self, pool, idempotent):
+        return ("i-7",)
+
     async def send(self, server, req, remaining_s, reuse=True):
         self.sent.append((server.id, remaining_s))
         self.reuse.append(reuse)
@@ -262,6 +265,9 @@
     slots = Slots()
 
     class Silent:
+        def connected(self, pool, idempotent):
+            return ()
+
         async def send(self, server, req, remaining_s, reuse):
             await asyncio.Event().wait()
 
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -155,3 +155,20 @@
         assert not opened[0].closed
 
     run_steps(send_late)
+
+
+def test_usable_connections_are_named_by_pool_and_kind(opened):
+    """Guards against a preference for servers whose connection may not be reused."""
+
+    async def check(subject):
+        assert subject.connected("p", True) == ("i-2", "i-1")
+        opened[0].idle_since -= 0.3
+        assert subject.connected("p", False) == ("i-2",)
+        assert subject.connected("other", True) == ()
+        subject.close_idle("i-2")
+        assert subject.connected("p", True) == ("i-1",)
+
+    async def age(subject):
+        opened[0].idle_since -= 0.05
+
+    run_steps(send(), age, send(server("i-2")), check)
