--- a/tests/test_slot_client.py
+++ b/tests/test_slot_client.py
@@ -173,3 +173,28 @@
             fleet.acquire()
         ids.append({message.call_id for _, message in fleet.sent})
     assert not ids[0] & ids[1]
+
+
+def test_a_grant_of_an_owner_that_was_passed_over_is_not_used(monkeypatch):
+    """Guards against a request that goes out twice around a change of owner.
+
+    Both owners grant a slot, the first one late. The request uses one of them, and the other owner
+    learns that its slot is not used.
+    """
+    fleet = Fleet(monkeypatch, {"a2": ["i-2"]})
+    original = fleet.send
+
+    def send(owner, message):
+        if owner.id == "a2" and isinstance(message, fleet_messages.SlotRequest):
+            [(_, first)] = [
+                sent for sent in fleet.sent if sent[0] == "a1" and hasattr(sent[1], "pool")
+            ]
+            fleet.client.on_reply(reply("i-1", first.call_id))
+        return original(owner, message)
+
+    fleet.client._send = send
+    assert fleet.acquire().server == "i-2"
+    assert fleet.released == [
+        ("a1", health.AttemptResult.CANCELLED),
+        ("a2", health.AttemptResult.ANSWERED),
+    ]
