Count store calls and messages by kind, and send odd messages in the soak

A listing of the store could grow without end, page by page. The soak played no odd message of a peer, and did not notice a process that ended by itself. Change: metrics for calls to the store, messages and bytes by kind, and the longest delay of the event loop; a listing is limited to 32 MB. The soak sends malformed, truncated, foreign and never-ending messages, and reports processes that end without its signal.

--- a/dotterelfront/mesh.py
+++ b/dotterelfront/mesh.py
@@ -38,6 +38,9 @@
         self._peers: collections.OrderedDict[str, pynng.Push0] = collections.OrderedDict()
         self._listener: pynng.Pull0 | None = None
         self.counters: collections.Counter[str] = collections.Counter()
+        self.messages: collections.Counter[str] = collections.Counter()
+        self.bytes: collections.Counter[str] = collections.Counter()
+        """Messages and their bytes by direction and kind, such as ``"sent Ping"``."""
 
     def listen(self) -> None:
         """Opens the listening socket; raises ``errors.PeerError``."""
@@ -64,16 +67,16 @@
 
     def send(self, address: str, message: fleet_messages.Message) -> bool:
         """Queues a message; returns whether there was room for it."""
-        return self.send_encoded(address, fleet_messages.encode(message))
+        return self.send_encoded(address, fleet_messages.encode(message), type(message))
 
-    def send_encoded(self, address: str, raw: bytes) -> bool:
+    def send_encoded(self, address: str, raw: bytes, kind: type) -> bool:
         """Queues an encoded message, so that a message to several peers is encoded only once."""
         try:
             self._peer(address).send(raw, block=False)
         except pynng.NNGException:
             self.counters["not sent"] += 1
             return False
-        self.counters["sent"] += 1
+        self._count("sent", kind, raw)
         return True
 
     def reset(self, address: str) -> None:
@@ -103,13 +106,19 @@
         self._peers.move_to_end(address)
         return sock
 
+    def _count(self, direction: str, kind: type, raw: bytes) -> None:
+        self.counters[direction] += 1
+        label = f"{direction} {kind.__name__}"
+        self.messages[label] += 1
+        self.bytes[label] += len(raw)
+
     def _receive(self, raw: bytes) -> None:
         try:
             message = fleet_messages.decode(raw)
         except errors.MessageError:
             self.counters["malformed"] += 1
             return
-        self.counters["received"] += 1
+        self._count("received", type(message), raw)
         try:
             self._on_message(message)
         except Exception as exc:
--- a/dotterelfront/node.py
+++ b/dotterelfront/node.py
@@ -42,6 +42,8 @@
 """Interval of deadline checks of queued requests, well below any latency objective."""
 SWEEP_INTERVAL_S = 0.5
 """Interval of checks for idle connections and expired servers, whose limits are in seconds."""
+LAG_SAMPLES = 20
+"""Sweeps over which the greatest delay of the event loop is measured."""
 SEED_PULL_INTERVAL_S = 1.0
 """Interval of pulls from seed VMs until this VM has a complete copy of the records. Listing the
 records in the store takes less than this while the store is healthy."""
@@ -129,6 +131,8 @@
         self._readiness_gateway = gateway.Gateway(self._answer_readiness)
         self._leaving = asyncio.Event()
         self._owner_busy = asyncio.Event()
+        self._lags: collections.deque[float] = collections.deque([0.0], maxlen=LAG_SAMPLES)
+        """Delays of the latest sweeps in seconds."""
         self._lease: int | None = None
         self._supervisor = supervisor.Supervisor(self._leaving.set)
 
@@ -233,8 +237,10 @@
 
     async def _sweep(self) -> None:
         while True:
+            due = self._loop.time() + SWEEP_INTERVAL_S
             await asyncio.sleep(SWEEP_INTERVAL_S)
             now = self._loop.time()
+            self._lags.append(now - due)
             self._gateway.sweep(now)
             available_since = self._store_state.available_since(now)
             report = self._view.catalog.drop_expired(available_since, now)
@@ -377,7 +383,7 @@
         raw = fleet_messages.encode(fleet_messages.Push(after, changes))
         peers = self._zone_peers()
         for vm in peers:
-            self._mesh.send_encoded(vm.address, raw)
+            self._mesh.send_encoded(vm.address, raw, fleet_messages.Push)
         return len(raw) * len(peers) * 8 / PUSH_BITS_PER_S
 
     def _set_servers(self, pools) -> None:
@@ -507,6 +513,9 @@
         return [
             source("answers", "Answers to callers", "status", self._read_answers),
             source("mesh_messages", "Messages between VMs", "event", lambda: self._mesh.counters),
+            source("messages_by_kind", "Messages between VMs", "kind", lambda: self._mesh.messages),
+            source("message_bytes", "Bytes between VMs", "kind", lambda: self._mesh.bytes),
+            source("store_calls", "Calls to the store", "call", lambda: self._client.calls),
             source("shard_events", "Decisions of this VM's shards", "event", self._read_decisions),
             source("shards", "Requests in this VM's shards", "state", self._read_shards, False),
             source("caller_events", "Connections ended", "event", lambda: self._gateway.events),
@@ -541,6 +550,7 @@
             "store-well-seconds": self._store_state.own_available_s(self._loop.time()) or 0.0,
             "connections": len(self._gateway.connections),
             "buffered-response-bytes": self._budget.used_bytes,
+            "loop-lag-seconds": max(self._lags),
         }
 
 
--- a/dotterelfront/platform/store.py
+++ b/dotterelfront/platform/store.py
@@ -14,6 +14,7 @@
 
 import asyncio
 import base64
+import collections
 import urllib.parse
 from typing import Any
 
@@ -31,6 +32,8 @@
 costs its whole timeout."""
 MAX_PAGES = 1_000
 """Maximum pages of one listing: half a million items, far more than the largest fleet has."""
+MAX_LISTING_BYTES = 32_000_000
+"""Limit of the response bodies of one listing. 16,000 servers and 1,600 VMs take 6 MB."""
 
 
 class _Item(msgspec.Struct, rename="kebab"):
@@ -62,6 +65,8 @@
     def __init__(self, address: str):
         self._address = address
         self._idle: list[exchange.Connection] = []
+        self.calls: collections.Counter[str] = collections.Counter()
+        """Calls by kind; each page of a listing is one call."""
 
     async def list_all(self, prefix: str) -> fleetmodel.Changes:
         """Returns all records under a prefix.
@@ -69,10 +74,16 @@
         The pages are not one snapshot. The result has the revision of the first page, so that a
         watch from that revision misses no change.
         """
-        records, after, revision = [], "", None
+        records, after, revision, size = [], "", None, 0
         for _ in range(MAX_PAGES):
             query = {"prefix": prefix} | ({"after": after} if after else {})
-            page = _decode_body(await self._get("/v1/kv-range", query), _Page)
+            res = await self._get("list", "/v1/kv-range", query)
+            size += len(res.body)
+            if size > MAX_LISTING_BYTES:
+                raise errors.StoreUnavailableError(
+                    f"{prefix}: listing of more than {MAX_LISTING_BYTES} bytes"
+                )
+            page = _decode_body(res, _Page)
             records += [_decode_item(item) for item in page.items]
             revision = page.current_rev if revision is None else revision
             if not page.has_more or not page.items:
@@ -85,51 +96,56 @@
     async def watch(self, prefix: str, after: int, wait_s: float) -> fleetmodel.Changes:
         """Waits for changes after a revision; returns no records when the wait ends without one."""
         query = {"prefix": prefix, "after": after, "wait-ms": round(wait_s * 1000)}
-        page = _decode_body(await self._get("/v1/kv-watch", query, wait_s + WATCH_SLACK_S), _Page)
+        res = await self._get("watch", "/v1/kv-watch", query, wait_s + WATCH_SLACK_S)
+        page = _decode_body(res, _Page)
         return fleetmodel.Changes(
             tuple(_decode_item(event) for event in page.events), max(after, page.current_rev)
         )
 
     async def lease(self, ttl_s: float) -> int:
         """Creates a lease and returns its id."""
-        res = await self._post("/v1/kv-lease", {"ttl_time": formats.duration(ttl_s)})
+        res = await self._post("lease", "/v1/kv-lease", {"ttl_time": formats.duration(ttl_s)})
         return _decode_body(res, _Lease).lease
 
     async def renew_lease(self, lease: int, timeout_s: float = CALL_TIMEOUT_S) -> bool:
         """Renews a lease; returns False when it has expired."""
-        res = await self._call("POST", f"/v1/kv-keep/{lease}", None, timeout_s, (200, 404))
+        target = f"/v1/kv-keep/{lease}"
+        res = await self._call("renewal", "POST", target, None, timeout_s, (200, 404))
         return res.status == 200
 
     async def revoke_lease(self, lease: int) -> None:
         """Revokes a lease, which removes its keys."""
-        await self._call("DELETE", f"/v1/kv-lease-end/{lease}", None, CALL_TIMEOUT_S, (200, 404))
+        target = f"/v1/kv-lease-end/{lease}"
+        await self._call("revocation", "DELETE", target, None, CALL_TIMEOUT_S, (200, 404))
 
     async def put(self, key: str, value: bytes, lease: int = 0) -> int:
         """Writes one item, under ``lease`` unless that is 0; returns its revision."""
         item = {"key": key, "value": base64.b64encode(value).decode(), "lease": lease}
         body = {"expected": [], "puts": [item], "deletes": []}
-        return _decode_body(await self._post("/v1/kv-txn", body), _TxnResult).rev
+        return _decode_body(await self._post("put", "/v1/kv-txn", body), _TxnResult).rev
 
     def close(self) -> None:
         for conn in self._idle:
             conn.close()
         self._idle.clear()
 
-    async def _get(self, path: str, query: dict, timeout_s: float = CALL_TIMEOUT_S):
+    async def _get(self, kind: str, path: str, query: dict, timeout_s: float = CALL_TIMEOUT_S):
         target = f"{path}?{urllib.parse.urlencode(query)}"
-        return await self._call("GET", target, None, timeout_s, (200,))
+        return await self._call(kind, "GET", target, None, timeout_s, (200,))
 
-    async def _post(self, path: str, body: dict):
-        return await self._call("POST", path, body, CALL_TIMEOUT_S, (200,))
+    async def _post(self, kind: str, path: str, body: dict):
+        return await self._call(kind, "POST", path, body, CALL_TIMEOUT_S, (200,))
 
     async def _call(
         self,
+        kind: str,
         method: str,
         target: str,
         body: dict | None,
         timeout_s: float,
         accepted_statuses: tuple,
     ) -> exchange.Response:
+        self.calls[kind] += 1
         raw = b"" if body is None else msgspec.json.encode(body)
         pairs = [("Host", self._address), ("Content-Length", str(len(raw)))]
         if raw:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -8,6 +8,7 @@
 import sys
 
 HTTP_PORT, READY_PORT, PEER_PORT, STORE_PORT = 8641, 8640, 7620, 2391
+_ENDING_SIGNALS = frozenset([signal.SIGTERM, signal.SIGKILL])
 STORE_HOST_OFFSET = 200
 """Number added to the last octet of a VM's address to get the address of its store host."""
 
@@ -21,6 +22,9 @@
         self.store_host = f"{network}.{STORE_HOST_OFFSET + number}"
         """The store's host that only this VM uses, so that the store can identify the VM."""
         self.keep_running = True
+        self.own_exits: list[int] = []
+        """Exit codes of processes that ended without a signal of the soak."""
+        self._end_requested = False
         self._process: asyncio.subprocess.Process | None = None
         self._settings_path = folder / f"{self.name}.json"
         self._log_path = folder / f"{self.name}.log"
@@ -54,11 +58,15 @@
                 self._process = await asyncio.create_subprocess_exec(
                     sys.executable, "-m", "dotterelfront.node", env=env, stdout=log, stderr=log
                 )
-                await self._process.wait()
+                self._end_requested = False
+                code = await self._process.wait()
+                if not self._end_requested:
+                    self.own_exits.append(code)
                 await asyncio.sleep(0.2)
 
     def send(self, signum: signal.Signals) -> None:
         if self._process is not None and self._process.returncode is None:
+            self._end_requested |= signum in _ENDING_SIGNALS
             self._process.send_signal(signum)
 
     async def ready(self) -> bool:
--- a/soak/play.py
+++ b/soak/play.py
@@ -2,14 +2,21 @@
 
 import asyncio
 import collections
+import contextlib
 import dataclasses
 import json
+import math
+import os
 import pathlib
 import random
 import signal
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
+import msgspec
+import pynng
+
+from dotterelfront import fleet_messages, fleetmodel
 from soak import backend, caller, fleet, records
 from standins import platform_store
 
@@ -49,7 +56,8 @@
     def __init__(self, seed: int, folder: pathlib.Path):
         self.rng = random.Random(seed)
         self.observations = records.Observations()
-        self.network = f"127.{60 + seed % 40}.{seed // 40 % 250}"
+        # The process id separates runs of the same seed beside each other.
+        self.network = f"127.{60 + seed % 40}.{(seed // 40 + os.getpid()) % 250}"
         self.store = platform_store.PlatformStore()
         self.vms = [
             fleet.FleetVm(number, self.network, "ab"[number % 2], folder)
@@ -132,6 +140,9 @@
             await asyncio.sleep(SETTLE_S)
         finally:
             load.cancel()
+        env.observations.own_exits += [
+            f"{vm.name} (exit code {code})" for vm in env.vms for code in vm.own_exits
+        ]
         statuses = collections.Counter(
             result.status for result in env.observations.results.values()
         )
@@ -289,6 +300,49 @@
     env.store.put(f"servers/x-{env.rng.randrange(5)}", raw)
 
 
+async def _send_odd_messages(env: Environment) -> None:
+    """Sends messages to VMs that no VM of this version would send."""
+    for vm in env.rng.sample(env.vms, 3):
+        with pynng.Push0(send_timeout=500) as sock:
+            sock.dial(f"tcp://{vm.host}:{fleet.PEER_PORT}", block=False)
+            for raw in _odd_messages(vm, env.rng):
+                with contextlib.suppress(pynng.NNGException):
+                    await sock.asend(raw)
+            # Closing the socket drops messages that are not sent yet.
+            await asyncio.sleep(0.1)
+
+
+def _odd_messages(vm: fleet.FleetVm, rng: random.Random) -> list[bytes]:
+    request = fleet_messages.SlotRequest(
+        sender="vm-none",
+        reply_to="no address",
+        call_id=rng.randrange(2**40),
+        pool="no pool",
+        zone="no zone",
+        route="no route",
+        priority=rng.choice([0, 7, -1]),
+        idempotent=False,
+        remaining_s=1.5,
+        wait=True,
+        is_retry=False,
+    )
+    without_end = [math.nan if v == 1.5 else v for v in msgspec.to_builtins(request)]
+    encoded = fleet_messages.encode(request)
+    changes = fleetmodel.Changes((fleetmodel.Record("servers/x", 3, b"\xff"),), 2**50)
+    return [
+        b"",
+        rng.randbytes(200),
+        encoded,
+        encoded[: rng.randrange(1, len(encoded))],
+        b"\xc1" + rng.randbytes(50),
+        msgspec.msgpack.encode(without_end),
+        fleet_messages.encode(fleet_messages.SlotGrant(rng.randrange(2**40), "i-none")),
+        fleet_messages.encode(fleet_messages.Pull("no address", -1)),
+        fleet_messages.encode(fleet_messages.Push(2**49, changes)),
+        fleet_messages.encode(fleet_messages.Notice(f"{vm.host}:1", 2**50)),
+    ]
+
+
 FAULTS = {
     "kill": _kill,
     "kill all": _kill_all,
@@ -301,4 +355,5 @@
     "route": _add_route,
     "spoil": _write_unreadable_record,
     "settings": _change_settings,
+    "odd messages": _send_odd_messages,
 }
--- a/soak/records.py
+++ b/soak/records.py
@@ -57,6 +57,8 @@
     """Spans in which time bounds are not checked: from a fault to a few seconds after its end."""
     stop_windows: list[tuple[float, float]] = dataclasses.field(default_factory=list)
     """Spans of planned stops of VMs, in which no request may be cut off."""
+    own_exits: list[str] = dataclasses.field(default_factory=list)
+    """VMs whose process ended by itself, with its exit code."""
 
 
 def violations(observations: Observations) -> list[str]:
@@ -81,6 +83,7 @@
             lines.append(f"{request_id}: 404 on {result.path}, although its route is configured")
     for request_id in sorted(observations.runs.keys() - observations.results.keys()):
         lines.append(f"{request_id}: ran, but no caller sent it")
+    lines += [f"{exit_}: process ended by itself" for exit_ in observations.own_exits]
     lines += _runs_after_drain(observations)
     return lines
 
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -49,6 +49,22 @@
     assert (received, receiver.counters["failed"]) == ([2], 1)
 
 
+def test_messages_and_bytes_are_counted_by_kind():
+    """Guards against control traffic whose growth with the fleet nobody can see."""
+
+    async def scenario():
+        sender = mesh.Mesh(address(), lambda message: None)
+        sender.send(address(), release(1))
+        sender.close()
+        return sender
+
+    sender, receiver = asyncio.run(scenario()), mesh.Mesh(address(), lambda message: None)
+    receiver._receive(fleet_messages.encode(release(1)))
+    size = len(fleet_messages.encode(release(1)))
+    assert (sender.messages, sender.bytes) == ({"sent SlotRelease": 1}, {"sent SlotRelease": size})
+    assert receiver.bytes == {"received SlotRelease": size}
+
+
 def test_messages_reach_a_restarted_peer_after_a_reset():
     """Guards against a connection that stays unresponsive after its peer restarted."""
 
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -55,6 +55,17 @@
     assert net.steps == []
 
 
+def test_listing_without_end_is_an_error(monkeypatch):
+    """Guards against advancing pages without end, which would fill the memory of a VM."""
+    monkeypatch.setattr(store, "MAX_LISTING_BYTES", 300)
+    pages = [page(7, f"k{number}", more=True) for number in range(10)]
+    net = Net(monkeypatch, *pages)
+    with pytest.raises(errors.StoreUnavailableError):
+        asyncio.run(net.client.list_all("x/"))
+    assert net.client.calls == {"list": 10 - len(net.steps)}
+    assert net.steps
+
+
 def test_listing_joins_pages_and_has_the_revision_of_the_first(monkeypatch):
     """Guards against a change between two pages that the following watch misses."""
     net = Net(monkeypatch, page(7, "a", more=True), page(9, "b"))
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -88,6 +88,33 @@
     assert len(records.violations(observations)) == expected
 
 
+def test_process_that_ends_by_itself_is_reported():
+    """Guards against a soak that passes although one message takes a whole process down."""
+    observations = records.Observations(own_exits=["vm-1 (exit code 1)"])
+    assert records.violations(observations) == ["vm-1 (exit code 1): process ended by itself"]
+
+
+def test_odd_messages_end_no_process(tmp_path):
+    """Guards against a message of a faulty sender that stops a VM, or all work on it."""
+
+    async def scenario(env):
+        load = asyncio.ensure_future(env.load.run(60.0))
+        try:
+            for _ in range(6):
+                await play.FAULTS["odd messages"](env)
+            sent_before = set(env.observations.results)
+            await asyncio.sleep(2.0)
+        finally:
+            load.cancel()
+        later = [r for i, r in env.observations.results.items() if i not in sent_before]
+        return env.observations, [vm.own_exits for vm in env.vms], later
+
+    observations, own_exits, later = asyncio.run(play.run_with_fleet(12, tmp_path, scenario))
+    assert records.violations(observations) == []
+    assert not any(own_exits)
+    assert sum(result.status == 200 for result in later) > 0.9 * len(later) > 50
+
+
 def test_stops_in_series_cut_off_no_request(tmp_path):
     """Guards against requests that are accepted and then lost while VMs stop under load."""
 
