Prefer servers that have answered since their last failure

Answers to requests that were sent before a failure counted against the suspicion, although they say nothing about the server since. Change: for 9 s after its last failure a server is unproven until it answers a request that was sent after it. Unproven servers rank behind the others, for at most a quarter of a shard's servers, so that the floor holds; they are still used before a request waits, so no capacity is lost at a crest.

--- a/dotterelfront/gray_server.py
+++ b/dotterelfront/gray_server.py
@@ -18,9 +18,15 @@
 drains the whole queue of a shard whose good servers are full. Idempotent requests still use a
 paused server when no other server has a free slot: a failure costs them little, and their results
 show when the server has recovered.
+
+When the suspicion has decayed, a server stays unproven until it answers a request that was sent to
+it after its last failure. The answers to earlier requests say nothing about its present state. An
+unproven server that is still gray fails the next request, so other servers are preferred for a
+while.
 """
 
 import math
+from collections.abc import Collection
 
 import msgspec
 
@@ -64,6 +70,14 @@
 interval uses up the retry budget: two gray servers of six took half of it at 0.5 s."""
 
 
+UNPROVEN_S = 9.0
+"""Time after its last failure for which a server is unproven; gray periods last several seconds."""
+UNPROVEN_SHARE = 0.25
+"""Share of the servers of a shard that may count as unproven at one time. The others get requests
+like proven ones. The floor requires that seven in ten servers get requests in any two seconds,
+which includes servers that failed more than two seconds ago."""
+
+
 class _ServerState(msgspec.Struct):
     distance: float = 0.0
     """Log odds minus the prior, at ``updated_at``."""
@@ -74,6 +88,9 @@
     """A success halves the count instead of clearing it, since a gray server answers one request in
     ten."""
     paused_until: float = 0.0
+    failed_at: float = -math.inf
+    is_proven: bool = True
+    """Whether the server has answered a request that it got after ``failed_at``."""
 
 
 class Suspicion:
@@ -105,6 +122,7 @@
 
     def record_failure(self, server: models.ServerId, now: float) -> None:
         state = self._observe(server, FAILURE_WEIGHT, now)
+        state.failed_at, state.is_proven = now, False
         if now >= state.paused_until:
             # During a pause, failures of requests sent before it are not counted again.
             state.consecutive_failures = min(
@@ -112,10 +130,14 @@
             )
             state.paused_until = now + _pause_s(state.consecutive_failures)
 
-    def record_success(self, server: models.ServerId, now: float) -> None:
+    def record_success(
+        self, server: models.ServerId, now: float, sent_at: float = math.inf
+    ) -> None:
+        """Records an answer to a request that was sent at ``sent_at``."""
         if server in self._states:
             state = self._observe(server, SUCCESS_WEIGHT, now)
             state.consecutive_failures //= 2
+            state.is_proven |= sent_at > state.failed_at
 
     def record_late(self, server: models.ServerId, now: float) -> None:
         """Records an unfinished request that runs longer than ``LATE_FACTOR`` times the mean."""
@@ -127,6 +149,23 @@
         if state is not None:
             state.last_used = now
 
+    def unproven(self, servers: Collection[models.ServerId], now: float) -> set[models.ServerId]:
+        """Returns the unproven ones of a shard's servers, at most ``UNPROVEN_SHARE`` of them.
+
+        If there are more, those that failed last are returned.
+        """
+        failed = sorted(
+            (
+                (state.failed_at, server)
+                for server in servers
+                if (state := self._states.get(server)) is not None
+                and not state.is_proven
+                and now - state.failed_at < UNPROVEN_S
+            ),
+            reverse=True,
+        )
+        return {server for _, server in failed[: int(UNPROVEN_SHARE * len(servers))]}
+
     def is_trial_due(self, server: models.ServerId, now: float) -> bool:
         """Whether a suspected server should get a request to check whether it has recovered."""
         state = self._states.get(server)
--- a/dotterelfront/pools.py
+++ b/dotterelfront/pools.py
@@ -449,8 +449,8 @@
     def _select_server(self, ticket: queueing.Ticket, now: float) -> models.ServerId | None:
         """Returns the best server with a free slot, or None.
 
-        Servers are ranked by ``avoid``, suspicion, penalty, an idle connection and load; ties are
-        broken at random. An idle connection does not count for the last slot of a server.
+        Servers are ranked by ``avoid``, suspicion, proof, penalty, an idle connection and load;
+        ties are broken at random. An idle connection does not count for the last slot of a server.
         """
         idempotent = ticket.idempotent
         connected = ticket.connected
@@ -470,6 +470,7 @@
             rank = (
                 address in ticket.avoid,
                 self._suspicion.log_odds(address, now) if suspect else 0.0,
+                address in self._unproven,
                 self.health.penalty(address, now),
                 not (address in connected and busy + 1 < usable),
                 busy / usable,
@@ -551,6 +552,7 @@
         }
         self._capacity = self._measure_capacity(now)
         self._good_slots = self._measure_good_slots(now)
+        self._unproven = self._suspicion.unproven(self._active, now)
         self._long = self._times.long_routes(LONG_FACTOR, now, RECENT_S)
         gain = 1 - math.exp(-(now - self._refreshed_at) / GRANT_RATE_TAU_S)
         self._mean_short_in_flight += gain * (
--- a/dotterelfront/slot_owner.py
+++ b/dotterelfront/slot_owner.py
@@ -199,7 +199,7 @@
         if call is None:
             return
         if call.server is not None:
-            self._record_result(message, call.server, now)
+            self._record_result(message, call, now)
         self._end_call(call, message.result, now)
 
     def tick(self, now: float) -> None:
@@ -225,13 +225,12 @@
         else:
             self._reply(call.reply_to, fleet_messages.SlotWaiting(call_id))
 
-    def _record_result(
-        self, message: fleet_messages.SlotRelease, server: models.ServerId, now: float
-    ) -> None:
+    def _record_result(self, message: fleet_messages.SlotRelease, call: _Call, now: float) -> None:
+        server = call.server
         if message.result in SUSPECT_RESULTS:
             self._suspicion.record_failure(server, now)
         elif message.result is health.AttemptResult.ANSWERED:
-            self._suspicion.record_success(server, now)
+            self._suspicion.record_success(server, now, call.granted_at)
         elif message.result is health.AttemptResult.CONNECT_FAILED:
             reports = self._connect_failures.setdefault(server, {})
             reports[message.sender] = now
