Tell a refusal of invalid settings from a crash in the soak

Trace: the soak had written invalid settings and killed the process; the new one refused them and exited with 1, as documented (its last line is "settings rejected"). Change: an exit whose last log line is this refusal is not reported; any other one is.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -8,6 +8,7 @@
 import sys
 
 HTTP_PORT, READY_PORT, PEER_PORT, STORE_PORT = 8641, 8640, 7620, 2391
+COMMAND = (sys.executable, "-m", "dotterelfront.node")
 _ENDING_SIGNALS = frozenset([signal.SIGTERM, signal.SIGKILL])
 STORE_HOST_OFFSET = 200
 """Number added to the last octet of a VM's address to get the address of its store host."""
@@ -56,14 +57,19 @@
         with self._log_path.open("ab") as log:
             while self.keep_running:
                 self._process = await asyncio.create_subprocess_exec(
-                    sys.executable, "-m", "dotterelfront.node", env=env, stdout=log, stderr=log
+                    *COMMAND, env=env, stdout=log, stderr=log
                 )
                 self._end_requested = False
                 code = await self._process.wait()
-                if not self._end_requested:
+                if not self._end_requested and not self._has_rejected_settings():
                     self.own_exits.append(code)
                 await asyncio.sleep(0.2)
 
+    def _has_rejected_settings(self) -> bool:
+        """Whether the process ended because it started with the soak's invalid settings."""
+        last_line = self._log_path.read_text().strip().rpartition("\n")[2]
+        return '"settings rejected"' in last_line and '"ERROR"' in last_line
+
     def send(self, signum: signal.Signals) -> None:
         if self._process is not None and self._process.returncode is None:
             self._end_requested |= signum in _ENDING_SIGNALS
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,10 +1,11 @@
 """Tests of the soak's safety checks, and a short soak with VM processes."""
 
 import asyncio
+import sys
 
 import pytest
 
-from soak import play, records
+from soak import fleet, play, records
 
 
 def observe(kind="unsafe", status=200, runs=1, is_correct=True, path="/orders/1"):
@@ -94,6 +95,26 @@
     assert records.violations(observations) == ["vm-1 (exit code 1): process ended by itself"]
 
 
+@pytest.mark.parametrize(("settings", "expected"), [("{", 0), ("not read", 1)])
+def test_only_a_start_with_invalid_settings_may_end_a_process(
+    tmp_path, monkeypatch, settings, expected
+):
+    """Guards against a crash that passes for a refusal of settings, and the other way round."""
+    vm = fleet.FleetVm(1, "127.59.0", "a", tmp_path)
+    vm.write_settings(settings)
+    if expected:
+        monkeypatch.setattr(fleet, "COMMAND", (sys.executable, "-c", "raise SystemExit(1)"))
+
+    async def scenario():
+        task = asyncio.ensure_future(vm.supervise())
+        await asyncio.sleep(1.0)
+        vm.keep_running = False
+        await task
+
+    asyncio.run(scenario())
+    assert bool(vm.own_exits) == bool(expected)
+
+
 def test_odd_messages_end_no_process(tmp_path):
     """Guards against a message of a faulty sender that stops a VM, or all work on it."""
 
