List the store's records only on watchers when the whole fleet starts

The calls grow with VMs times records. Change: at the first start, which the settings state, a VM writes its record first and lists only when it is about to watch, or after 3 s. The others pull the copy of a watcher of their zone, which finds them by their records. A watcher encodes its copy once for all of them. At any other start a VM lists at once, since the copies of others may be outdated.

--- a/dotterelfront/follow.py
+++ b/dotterelfront/follow.py
@@ -1,9 +1,9 @@
 """Keeps a VM's copy of the store's records up to date, from the store or from other VMs.
 
-A VM lists all records when it starts. After that, the watchers of its zone (``watch_role``) watch
-the store and push changes to the other VMs of the zone. A VM that learns of a later revision on
-another VM pulls the changes from it. A VM without access to the store thus follows the others, and
-they follow it.
+A VM gets a copy of all records when it starts (``first_copy``). After that, the watchers of its
+zone (``watch_role``) watch the store and push changes to the other VMs of the zone. A VM that
+learns of a later revision on another VM pulls the changes from it. A VM without access to the store
+thus follows the others, and they follow it.
 """
 
 import asyncio
@@ -135,6 +135,7 @@
         state: StoreState,
         role: watch_role.WatchRole,
         callbacks: Callbacks,
+        list_due: Callable[[float], bool] = lambda now: True,
         seed: int = 0,
     ):
         self.local_copy = replica.Replica()
@@ -146,6 +147,8 @@
         self._state = state
         self._role = role
         self._callbacks = callbacks
+        self._list_due = list_due
+        """Whether to list the records now while the copy is not complete."""
         self._rng = random.Random(seed)
 
     async def run(self) -> None:
@@ -211,7 +214,10 @@
 
     async def _step(self) -> None:
         if not self.is_complete:
-            await self._list()
+            if self._list_due(_now()):
+                await self._list()
+            else:
+                await asyncio.sleep(ROLE_CHECK_S)
         elif self._should_watch():
             self._set_watching(True)
             await self._watch()
--- a/dotterelfront/node.py
+++ b/dotterelfront/node.py
@@ -17,6 +17,7 @@
     catalog,
     clock,
     errors,
+    first_copy,
     fleet_messages,
     fleet_view,
     fleetmodel,
@@ -101,11 +102,13 @@
         self._client = store.Client(cfg.store_address)
         self._store_state = follow.StoreState(now)
         self._role = watch_role.WatchRole(cfg.vm.id, now)
+        self._first_copy = first_copy.FirstCopy(self._role, cfg.first_start, now)
         self._follower = follow.StoreFollower(
             self._client,
             self._store_state,
             self._role,
             follow.Callbacks(self._on_changed, self._push_to_zone, self._ping_zone),
+            self._first_copy.list_due,
             seed=incarnation,
         )
         self._mesh = mesh.Mesh(cfg.vm.address, self._on_message)
@@ -134,6 +137,8 @@
         self._lags: collections.deque[float] = collections.deque([0.0], maxlen=LAG_SAMPLES)
         """Delays of the latest sweeps in seconds."""
         self._lease: int | None = None
+        self._encoded_copy: tuple[int, bytes] | None = None
+        """Revision and bytes of the last whole copy that was sent."""
         self._supervisor = supervisor.Supervisor(self._leaving.set)
 
     async def run(self) -> None:
@@ -222,7 +227,8 @@
         """Pulls all records from seed VMs until this VM has a complete copy."""
         while not self._follower.is_complete:
             await asyncio.sleep(SEED_PULL_INTERVAL_S)
-            if not self._follower.is_complete and (seeds := self._cfg.seed_peers()):
+            list_due = self._first_copy.list_due(self._loop.time())
+            if list_due and not self._follower.is_complete and (seeds := self._cfg.seed_peers()):
                 address = self._rng.choice(seeds)
                 self._send(address, fleet_messages.Pull(self._cfg.vm.address, 0))
 
@@ -301,7 +307,8 @@
 
     async def _renew_record(self) -> None:
         """Renews the lease of the VM's record; a watcher also probes the store's health by it."""
-        while not self._follower.is_complete:
+        # The key of an earlier process of this VM is known only from the copy of the records.
+        while not self._follower.is_complete and not self._cfg.first_start:
             await asyncio.sleep(TICK_S)
         key, value = self._view.record()
         written_under: int | None = None
@@ -429,7 +436,8 @@
             self._send(message.reply_to, self._ping_message(reply_requested=False))
         if message.zone == self._cfg.zone:
             self._on_zone_ping(message, now)
-        if self._follower.should_pull(message.revision, message.zone == self._cfg.zone):
+        offers_more = self._follower.should_pull(message.revision, message.zone == self._cfg.zone)
+        if offers_more and (self._follower.is_complete or self._first_copy.may_pull(now)):
             pull = fleet_messages.Pull(self._cfg.vm.address, self._follower.local_copy.revision)
             self._send(message.reply_to, pull)
 
@@ -454,10 +462,21 @@
 
     def _on_pull(self, message: fleet_messages.Pull) -> None:
         found = self._follower.changes_for(message.after)
-        if found is not None:
-            after, changes = found
-            push = fleet_messages.Push(after, changes, message.forward_to_zone)
+        if found is None:
+            return
+        after, changes = found
+        push = fleet_messages.Push(after, changes, message.forward_to_zone)
+        if after or message.forward_to_zone:
             self._send(message.reply_to, push)
+        else:
+            self._send_whole_copy(message.reply_to, push)
+
+    def _send_whole_copy(self, address: str, push: fleet_messages.Push) -> None:
+        """Sends a copy that is encoded once for all VMs that pull the same revision."""
+        revision = push.changes.revision
+        if self._encoded_copy is None or self._encoded_copy[0] != revision:
+            self._encoded_copy = (revision, fleet_messages.encode(push))
+        self._mesh.send_encoded(address, self._encoded_copy[1], fleet_messages.Push)
 
     def _on_push(self, message: fleet_messages.Push) -> None:
         if not self._follower.apply_changes(message.after, message.changes):
--- a/dotterelfront/platform/boot.py
+++ b/dotterelfront/platform/boot.py
@@ -54,6 +54,8 @@
     log_format: logs.LogFormat = logs.LogFormat.JSON
     memory_limit_mb: float | None = None
     """Memory of the process, of which a share buffers responses and requests."""
+    first_start: bool = False
+    """Whether the whole fleet starts for the first time."""
     limits: dict[str, str | float | bool] = {}
 
     @property
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -48,6 +48,7 @@
             "peer_port": PEER_PORT,
             "store_address": f"{self.store_host}:{STORE_PORT}",
             "seeds": [f"{network}.{number}:1" for number in (1, 2)],
+            "first_start": True,
             "limits": {"drain": "2000ms", "grace": "6s", "retry-slack": 50, "retry-ratio": 0.2},
         }
 
@@ -61,10 +62,18 @@
                 )
                 self._end_requested = False
                 code = await self._process.wait()
+                self._end_first_start()
                 if not self._end_requested and not self._has_rejected_settings():
                     self.own_exits.append(code)
                 await asyncio.sleep(0.2)
 
+    def _end_first_start(self) -> None:
+        """Sets the settings for the following starts; invalid ones stay as they are."""
+        was_valid = self._settings_path.read_text() == json.dumps(self.settings)
+        self.settings["first_start"] = False
+        if was_valid:
+            self.write_settings(json.dumps(self.settings))
+
     def _has_rejected_settings(self) -> bool:
         """Whether the process ended because it started with the soak's invalid settings."""
         last_line = self._log_path.read_text().strip().rpartition("\n")[2]
