Wait for changes as long as the time to apply them allows

On its small twin these are most of the calls to the store. Change: a watch waits for 0.8 s less than the time to apply a change, at least 1.2 s, as before where this time is 2 s.

--- a/dotterelfront/follow.py
+++ b/dotterelfront/follow.py
@@ -17,9 +17,10 @@
 
 ALL_KEYS_PREFIX = ""
 """The empty prefix matches all keys: one watch covers configuration, servers and VMs."""
-WATCH_WAIT_S = 1.2
-"""Wait time of one watch call. It is short because the store may drop a waiting watch and leave its
-connection open, while a change must be in force everywhere 2 s after the store accepted it."""
+WATCH_WAIT_MIN_S = 1.2
+WATCH_WAIT_MARGIN_S = 0.8
+"""A watch waits for this much less than the time in which a change must be in force, since the
+store may drop a waiting watch and leave its connection open."""
 BATCH_S = 0.15
 """Pause between two watches, which batches changes and so limits the number of store calls."""
 ROLE_CHECK_S = 0.1
@@ -136,6 +137,7 @@
         role: watch_role.WatchRole,
         callbacks: Callbacks,
         list_due: Callable[[float], bool] = lambda now: True,
+        watch_wait_s: float = WATCH_WAIT_MIN_S,
         seed: int = 0,
     ):
         self.local_copy = replica.Replica()
@@ -149,6 +151,7 @@
         self._callbacks = callbacks
         self._list_due = list_due
         """Whether to list the records now while the copy is not complete."""
+        self._watch_wait_s = watch_wait_s
         self._rng = random.Random(seed)
 
     async def run(self) -> None:
@@ -250,7 +253,7 @@
 
     async def _watch(self) -> None:
         after = self.local_copy.revision
-        call = asyncio.ensure_future(self._client.watch(ALL_KEYS_PREFIX, after, WATCH_WAIT_S))
+        call = asyncio.ensure_future(self._client.watch(ALL_KEYS_PREFIX, after, self._watch_wait_s))
         try:
             while not call.done() and self._should_watch():
                 await asyncio.wait([call], timeout=WATCH_CHECK_S)
@@ -277,5 +280,10 @@
             self._callbacks.on_changed(keys)
 
 
+def watch_wait_s(apply_s: float) -> float:
+    """Returns the wait of a watch for changes that must be in force after ``apply_s``."""
+    return max(WATCH_WAIT_MIN_S, apply_s - WATCH_WAIT_MARGIN_S)
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/dotterelfront/node.py
+++ b/dotterelfront/node.py
@@ -109,6 +109,7 @@
             self._role,
             follow.Callbacks(self._on_changed, self._push_to_zone, self._ping_zone),
             self._first_copy.list_due,
+            follow.watch_wait_s(cfg.bounds.apply_s),
             seed=incarnation,
         )
         self._mesh = mesh.Mesh(cfg.vm.address, self._on_message)
--- a/dotterelfront/platform/boot.py
+++ b/dotterelfront/platform/boot.py
@@ -21,6 +21,8 @@
 class Bounds(msgspec.Struct, frozen=True, kw_only=True):
     """Limits that the fleet has to respect. Times are in seconds."""
 
+    apply_s: float = 2.0
+    """Time after which a configuration must be in force on every VM."""
     drain_s: float = 2.0
     """Time after which a leaving server must receive no more requests."""
     grace_s: float = 6.0
@@ -31,7 +33,12 @@
     """Retries allowed per window and service: this number plus ``retry_ratio`` of its requests."""
 
 
-_SECONDS = {"drain": "drain_s", "grace": "grace_s", "retry-window": "retry_window_s"}
+_SECONDS = {
+    "apply": "apply_s",
+    "drain": "drain_s",
+    "grace": "grace_s",
+    "retry-window": "retry_window_s",
+}
 _NUMBERS = {"retry-ratio": "retry_ratio", "retry-slack": "retry_slack"}
 
 
--- a/tests/test_follow.py
+++ b/tests/test_follow.py
@@ -71,6 +71,12 @@
     return asyncio.run(scenario())
 
 
+@pytest.mark.parametrize(("apply_s", "wait_s"), [(1.5, 1.2), (2.0, 1.2), (3.0, 2.2)])
+def test_a_forgotten_watch_ends_before_a_change_must_be_in_force(apply_s, wait_s):
+    """Guards against calls that the time for a change does not need, and against late changes."""
+    assert follow.watch_wait_s(apply_s) == pytest.approx(wait_s)
+
+
 def test_records_are_listed_once_and_then_watched(monkeypatch):
     harness = run(monkeypatch, changes(5, "a"), changes(6, "b"))
     assert harness.client.calls == ["list", "watch 5", "watch 6"]
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -165,9 +165,10 @@
 
 def test_limits_are_parsed_and_unknown_ones_ignored():
     limits = boot.parse_limits(
-        {"drain": "2500ms", "retry-ratio": "0.2", "retry-slack": 58, "new": True}
+        {"drain": "2500ms", "apply": "3s", "retry-ratio": "0.2", "retry-slack": 58, "new": True}
     )
-    assert (limits.drain_s, limits.retry_ratio, limits.retry_slack) == (2.5, 0.2, 58.0)
+    assert (limits.drain_s, limits.apply_s) == (2.5, 3.0)
+    assert (limits.retry_ratio, limits.retry_slack) == (0.2, 58.0)
     with pytest.raises(errors.RecordError):
         boot.parse_limits({"retry-ratio": "half"})
 
