Excuse a request of the soak that a kill cuts off after it was sent

Trace: by its number it was sent about 9.1 s after the load began, and \"kill all\" killed every VM right then (all started again 0.6 s later); the window of that fault begins at the kill, and the check looked only at the time of sending. Change: the check looks at the time from sending to the end of the connection.

--- a/soak/caller.py
+++ b/soak/caller.py
@@ -30,7 +30,7 @@
     except TimeoutError:
         return result
     except (OSError, h11.RemoteProtocolError):
-        result.was_cut = True
+        result.was_cut, result.ended_at = True, loop.time()
         return result
     result.status = res.status_code
     if 200 <= res.status_code < 300:
--- a/soak/records.py
+++ b/soak/records.py
@@ -39,6 +39,8 @@
     """Whether a 2xx response had the complete body and the signature for this request."""
     was_cut: bool = False
     """Whether the connection ended after the request was sent, without a complete response."""
+    ended_at: float = 0.0
+    """Time at which the connection ended, if ``was_cut``."""
 
 
 @dataclasses.dataclass
@@ -77,7 +79,7 @@
             lines.append(f"{request_id}: success with a wrong or incomplete response")
         if 200 <= result.status < 300 and not runs:
             lines.append(f"{request_id}: success without an execution")
-        if result.was_cut and _is_in_planned_stop(observations, result.sent_at):
+        if result.was_cut and _is_in_planned_stop(observations, result):
             lines.append(f"{request_id}: cut off in a planned stop")
         if _is_wrong_404(observations, result):
             lines.append(f"{request_id}: 404 on {result.path}, although its route is configured")
@@ -111,14 +113,14 @@
     return _is_undisturbed(observations, added_at, result.sent_at)
 
 
-def _is_in_planned_stop(observations: Observations, sent_at: float) -> bool:
-    return _is_undisturbed(observations, sent_at, sent_at) and any(
-        start <= sent_at <= end for start, end in observations.stop_windows
+def _is_in_planned_stop(observations: Observations, result: Result) -> bool:
+    return _is_undisturbed(observations, result.sent_at, result.ended_at) and any(
+        start <= result.sent_at <= end for start, end in observations.stop_windows
     )
 
 
 def _is_undisturbed(observations: Observations, start: float, end: float) -> bool:
     return not any(
-        window_start < end and window_end > start
+        window_start <= end and window_end > start
         for window_start, window_end in observations.fault_windows
     )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -76,14 +76,14 @@
 
 
 @pytest.mark.parametrize(
-    ("sent_at", "was_cut", "expected"),
-    [(11.0, True, 1), (11.0, False, 0), (13.0, True, 0), (10.5, True, 0)],
+    ("sent_at", "ended_at", "expected"),
+    [(11.0, 11.2, 1), (11.0, None, 0), (13.0, 13.1, 0), (10.5, 10.6, 0), (10.3, 10.4, 0)],
 )
-def test_request_cut_off_in_a_planned_stop_is_reported(sent_at, was_cut, expected):
+def test_request_cut_off_in_a_planned_stop_is_reported(sent_at, ended_at, expected):
     """Guards against requests that are lost in a stop, except while a fault acts too."""
     observations = observe(status=0)
     result = observations.results["a"]
-    result.sent_at, result.was_cut = sent_at, was_cut
+    result.sent_at, result.was_cut, result.ended_at = sent_at, ended_at is not None, ended_at or 0.0
     observations.stop_windows = [(10.0, 12.0)]
     observations.fault_windows = [(10.4, 10.8)]
     assert len(records.violations(observations)) == expected
