Show which VMs have a configuration in force, and since when

Cause: operators could not see whether a change had reached every VM; the users' story is a run of changes after which some answers were old. Change: each VM answers GET /configuration on its metrics port, without the metrics library; `node rollout` lists the store once, asks each VM once and fails unless all have the wanted revision. The age of the configuration in force is a metric.

--- a/dotterelfront/fleet_view.py
+++ b/dotterelfront/fleet_view.py
@@ -38,6 +38,8 @@
         self._previous_incarnation = models.Incarnation(0)
         self._record_issued = False
         self.config: fleetmodel.Configuration | None = None
+        self.config_since = now
+        """Time since which the configuration, or its lack, has been in force."""
         self.members = membership.Membership(vm, incarnation, now)
         self.catalog = catalog.Catalog(records.server)
         self._tables_by_zone: dict[models.ZoneName, placement.OwnerTable] = {}
@@ -58,7 +60,7 @@
         )
         return VMS_PREFIX + self.vm.id, msgspec.json.encode(vm_record)
 
-    def on_config(self, raw: bytes | None) -> bool:
+    def on_config(self, raw: bytes | None, now: float) -> bool:
         """Applies the record of the configuration; returns whether it is newer than the last."""
         if raw is None:
             return False
@@ -69,7 +71,7 @@
             return False
         if self.config is not None and candidate.revision <= self.config.revision:
             return False
-        self.config = candidate
+        self.config, self.config_since = candidate, now
         return True
 
     def on_servers(
@@ -89,7 +91,7 @@
         """
         vms = {}
         for record in vm_records:
-            vm = _decode_vm(record)
+            vm = decode_vm(record)
             if vm is not None:
                 vms[vm.id] = models.Vm(vm.id, vm.address, vm.zone, vm.region)
                 if vm.id == self.vm.id:
@@ -139,7 +141,8 @@
         self._all_zones_table.update(self.members.usable())
 
 
-def _decode_vm(record: fleetmodel.Record) -> VmRecord | None:
+def decode_vm(record: fleetmodel.Record) -> VmRecord | None:
+    """Returns the VM of a record, or None if the record is malformed."""
     try:
         return msgspec.json.decode(record.value, type=VmRecord)
     except msgspec.MsgspecError as exc:
--- a/dotterelfront/node.py
+++ b/dotterelfront/node.py
@@ -13,6 +13,8 @@
 import sys
 import time
 
+import msgspec
+
 from dotterelfront import (
     catalog,
     clock,
@@ -31,6 +33,7 @@
     notices,
     read_budget,
     relay,
+    rollout,
     slot_client,
     slot_owner,
     supervisor,
@@ -358,7 +361,9 @@
     def _on_changed(self, keys: set[str]) -> None:
         local_copy, now = self._follower.local_copy, self._loop.time()
         trusted = self._store_state.removals_trusted(now, catalog.RECOVERY_S)
-        urgent = records.CONFIG_KEY in keys and self._on_config(local_copy.get(records.CONFIG_KEY))
+        urgent = records.CONFIG_KEY in keys and self._on_config(
+            local_copy.get(records.CONFIG_KEY), now
+        )
         servers = sorted(key for key in keys if key.startswith(records.SERVERS_PREFIX))
         if servers:
             changed = [fleetmodel.Record(key, 0, local_copy.get(key)) for key in servers]
@@ -370,8 +375,8 @@
         if urgent and self._watches():
             self._notify_zones()
 
-    def _on_config(self, raw: bytes | None) -> bool:
-        newer = self._view.on_config(raw)
+    def _on_config(self, raw: bytes | None, now: float) -> bool:
+        newer = self._view.on_config(raw, now)
         if newer:
             self._relay.configure(self._view.config)
             logs.event("configuration in force", revision=self._view.config.revision)
@@ -520,14 +525,25 @@
     # Metrics
 
     async def _answer_scrape(self, call: relay.Call) -> relay.Answer:
+        if call.head.path == rollout.PATH:
+            return relay.Answer(
+                200,
+                [("Content-Type", "application/json")],
+                msgspec.json.encode(self._rollout_state()),
+            )
         if call.head.path != METRICS_PATH:
-            raise errors.NoRouteError("this port serves only metrics")
+            raise errors.NoRouteError("this port serves only metrics and the configuration")
         return relay.Answer(
             200,
             [("Content-Type", "text/plain; version=0.0.4")],
             await self._metrics.render_text(),
         )
 
+    def _rollout_state(self) -> rollout.VmState:
+        config = self._view.config
+        revision = config.revision if config else models.Revision(0)
+        return rollout.VmState(revision, self._loop.time() - self._view.config_since)
+
     def _metric_sources(self) -> list[node_metrics.MetricSource]:
         source = node_metrics.MetricSource
         return [
@@ -565,6 +581,7 @@
         config = self._view.config
         return {
             "configuration-revision": config.revision if config else 0,
+            "configuration-age-seconds": self._rollout_state().age_s,
             "records-revision": self._follower.local_copy.revision,
             "watching": int(self._watches()),
             "store-well-seconds": self._store_state.own_available_s(self._loop.time()) or 0.0,
--- a/dotterelfront/node_cli.py
+++ b/dotterelfront/node_cli.py
@@ -1,4 +1,4 @@
-"""Commands for the deployment platform: ``node run``, ``check`` and ``status``, and ``explain``."""
+"""Commands for the platform: ``node run``, ``check``, ``status``, ``rollout``, and ``explain``."""
 
 import asyncio
 import pathlib
@@ -8,7 +8,7 @@
 import msgspec
 import typer
 
-from dotterelfront import errors, explain, fleet_status, fleetmodel, node
+from dotterelfront import errors, explain, fleet_status, fleetmodel, models, node, rollout
 from dotterelfront.platform import boot, store
 
 node_app = typer.Typer(no_args_is_help=True, help="A VM on the deployment platform.")
@@ -44,6 +44,30 @@
         raise typer.Exit(1)
 
 
+@node_app.command("rollout", epilog="Example: dotterelfront node rollout 10.200.1.7:8642")
+def show_rollout(
+    address: Annotated[str, typer.Argument(help="Address of the platform's store, ip:port.")],
+    revision: Annotated[
+        int, typer.Option(help="Wanted revision; by default the newest one in the store.")
+    ] = 0,
+    as_json: Annotated[bool, typer.Option("--json", help="Prints JSON.")] = False,
+) -> None:
+    """Shows which VMs have a configuration in force. Fails if any of them has not."""
+    report = asyncio.run(_rollout(address, revision))
+    if as_json:
+        typer.echo(msgspec.json.encode(report).decode())
+    else:
+        typer.echo("\n".join(rollout.as_lines(report)))
+    if not report.is_complete:
+        raise typer.Exit(1)
+
+
+async def _rollout(address: str, revision: int) -> rollout.Report:
+    vms, newest = rollout.vms_and_revision((await _list_all(address)).records)
+    states = await rollout.ask_all(vms, node.METRICS_PORT)
+    return rollout.build(models.Revision(revision or newest), states)
+
+
 async def _list_all(address: str) -> fleetmodel.Changes:
     client = store.Client(address)
     try:
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -28,16 +28,17 @@
 def test_older_configuration_is_ignored():
     """Guards against a VM that reverts to an older configuration."""
     view = make_view()
-    applied = [view.on_config(config(version)) for version in ("r7", "r5", "r7", "r12")]
+    applied = [view.on_config(config(version), 1.0) for version in ("r7", "r5", "r7", "r12")]
     assert applied == [True, False, False, True]
     assert view.config.revision == 12
 
 
 def test_malformed_configuration_keeps_the_old_one():
     view = make_view()
-    view.on_config(config("r7"))
-    assert not view.on_config(b"{}")
-    assert not view.on_config(None)
+    view.on_config(config("r7"), 1.0)
+    assert not view.on_config(b"{}", 2.0)
+    assert not view.on_config(None, 2.0)
+    assert view.config_since == 1.0
     assert view.config.revision == 7
 
 
