Avoid gray servers longer, and name unused servers while requests fail

At most a quarter of a shard's servers could count as unproven, but the suspected ones, which failed in the last two seconds, used up this quarter, so that unproven servers got requests again as soon as their suspicion had decayed. And nothing kept the floor when most servers were gray: 29 in 100 sound servers were in use in a simulation. While over 9 in 100 requests of the last two seconds were not served, sound servers without a request for 1.4 s get the next ones. Ruled out, by the same simulation: half of the servers unproven (4.0% instead of 5.9% failed) would break the floor when requests hang, since their failure is known only after the two seconds.

--- a/dotterelfront/gray_server.py
+++ b/dotterelfront/gray_server.py
@@ -70,12 +70,14 @@
 interval uses up the retry budget: two gray servers of six took half of it at 0.5 s."""
 
 
-UNPROVEN_S = 9.0
-"""Time after its last failure for which a server is unproven; gray periods last several seconds."""
+UNPROVEN_S = 14.0
+"""Time after its last failure for which a server is unproven; gray periods last 5 to 15 s."""
 UNPROVEN_SHARE = 0.25
-"""Share of the servers of a shard that may count as unproven at one time. The others get requests
-like proven ones. The floor requires that seven in ten servers get requests in any two seconds,
-which includes servers that failed more than two seconds ago."""
+"""Share of the servers of a shard that may count as unproven at one time; suspected servers do not
+count. The others get requests like proven ones. The floor requires that seven in ten servers get
+requests in any two seconds, which includes servers that failed more than two seconds ago."""
+SOUND_S = 2.0
+"""Time after its last failure from which the floor counts a server as healthy."""
 
 
 class _ServerState(msgspec.Struct):
@@ -161,10 +163,17 @@
                 if (state := self._states.get(server)) is not None
                 and not state.is_proven
                 and now - state.failed_at < UNPROVEN_S
+                and not self.is_suspect(server, now)
             ),
             reverse=True,
         )
-        return {server for _, server in failed[: int(UNPROVEN_SHARE * len(servers))]}
+        others = len(servers) - sum(self.is_suspect(server, now) for server in servers)
+        return {server for _, server in failed[: int(UNPROVEN_SHARE * others + 1e-9)]}
+
+    def since_failure_s(self, server: models.ServerId, now: float) -> float:
+        """Returns the time since the last failure of a server, infinity if it has not failed."""
+        state = self._states.get(server)
+        return now - state.failed_at if state is not None else math.inf
 
     def is_trial_due(self, server: models.ServerId, now: float) -> bool:
         """Whether a suspected server should get a request to check whether it has recovered."""
--- a/dotterelfront/pools.py
+++ b/dotterelfront/pools.py
@@ -16,11 +16,11 @@
 import heapq
 import math
 import random
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 import msgspec
 
-from dotterelfront import gray_server, health, load_shedding, models, queueing
+from dotterelfront import floor_guard, gray_server, health, load_shedding, models, queueing
 
 MAX_QUEUE_LENGTH = 256
 RESERVED_SHARE = 0.25
@@ -47,6 +47,12 @@
 """Results after which a non-idempotent request may be retried, because it was not executed."""
 TIMED_RESULTS = (health.AttemptResult.ANSWERED, health.AttemptResult.TIMEOUT)
 """Results whose duration is a sample of the route's service time; errors are often quick."""
+UNSERVED_RESULTS = (
+    health.AttemptResult.SERVER_ERROR,
+    health.AttemptResult.BROKEN,
+    health.AttemptResult.TIMEOUT,
+)
+"""Results after which a non-idempotent request, or a retry, is not served."""
 
 
 class RefusalReason(enum.Enum):
@@ -149,6 +155,7 @@
         self._mean_short_in_flight = 0.0
         self._grant_rates = [(0.0, now) for _ in models.Priority]
         self.shedding = load_shedding.ShedLimits()
+        self._floor_guard = floor_guard.FloorGuard()
         self._platform_leaving: frozenset[models.ServerId] = frozenset()
         self._signalled_leaving: set[models.ServerId] = set()
         self._slots_exhausted = False
@@ -166,17 +173,17 @@
         """
         self.counters["submitted"] += 1
         if not wait and not self._has_free_slot(ticket, now):
-            self._refuse(ticket, RefusalReason.NO_FREE_SLOT)
+            self._refuse(ticket, RefusalReason.NO_FREE_SLOT, now)
             return self.take_effects()
         self._last_use[ticket.route] = now
         long = self._is_long(ticket.route)
         cost = self._times.mean(ticket.route)
         if not self._active:
-            self._refuse(ticket, RefusalReason.OVERLOADED)
+            self._refuse(ticket, RefusalReason.OVERLOADED, now)
         elif now + self._expected_time(ticket, cost, long, now) >= ticket.deadline:
-            self._refuse(ticket, RefusalReason.DEADLINE)
+            self._refuse(ticket, RefusalReason.DEADLINE, now)
         else:
-            self._enqueue(ticket, cost, long)
+            self._enqueue(ticket, cost, long, now)
             if not self._slots_exhausted:
                 self._dispatch(now)
         return self.take_effects()
@@ -200,6 +207,7 @@
         if result in TIMED_RESULTS:
             self._times.observe(attempt.route, now - attempt.started, now)
         self._record_shedding(attempt.server, result, now)
+        self._record_served(running.ticket, result, now)
         if requeue and (running.ticket.idempotent or result in NOT_RUN_RESULTS):
             self._requeue(running.ticket, now)
         try:
@@ -232,6 +240,7 @@
             if self._servers.get(address) != server:
                 self._signalled_leaving.discard(address)
                 self.shedding.forget(address)
+        self._floor_guard.retain(self._servers)
         for route in [r for r, last in self._last_use.items() if now - last > ROUTE_MEMORY_S]:
             self._forget_route(route)
         try:
@@ -343,9 +352,9 @@
     def _dispatch(self, now: float) -> None:
         """Refuses tickets that are too late and grants free slots to the next tickets."""
         for ticket in self._queue.remove_expired(now):
-            self._refuse(ticket, RefusalReason.DEADLINE)
+            self._refuse(ticket, RefusalReason.DEADLINE, now)
         if not self._active:
-            self._refuse_all(self._queue.remove_all())
+            self._refuse_all(self._queue.remove_all(), now)
         self._mark_overdue(now)
         self._slots_exhausted = False
         while self._queue:
@@ -370,7 +379,7 @@
             ticket = entry.ticket
             if now + self._service_time(ticket.route, now) >= ticket.deadline:
                 self._queue.remove(ticket.ticket_id)
-                self._refuse(ticket, RefusalReason.DEADLINE)
+                self._refuse(ticket, RefusalReason.DEADLINE, now)
             elif not entry.long and self._is_long(ticket.route):
                 self._queue.move_to_long(entry)
             else:
@@ -399,6 +408,8 @@
         )
         self.counters["granted"] += 1
         self._suspicion.record_use(server, now)
+        self._floor_guard.record_grant(server, now)
+        self._starved.discard(server)
         self._effects.append(Grant(ticket.ticket_id, server, attempt.attempt_id))
         self.health.on_start(attempt, now)
 
@@ -412,29 +423,39 @@
         self._overdue[route] -= running.overdue
 
     def _enqueue(
-        self, ticket: queueing.Ticket, cost: float, long: bool, front: bool = False
+        self, ticket: queueing.Ticket, cost: float, long: bool, now: float, front: bool = False
     ) -> None:
         evicted = self._queue.push(ticket, cost, long, front)
         if evicted:
-            self._refuse(evicted, RefusalReason.OVERLOADED)
+            self._refuse(evicted, RefusalReason.OVERLOADED, now)
 
     def _requeue(self, ticket: queueing.Ticket, now: float) -> None:
         if ticket.requeued or now + self._service_time(ticket.route, now) >= ticket.deadline:
-            overloaded = ticket.deadline > now
-            self._refuse(ticket, RefusalReason.OVERLOADED if overloaded else RefusalReason.DEADLINE)
+            reason = RefusalReason.OVERLOADED if ticket.deadline > now else RefusalReason.DEADLINE
+            self._refuse(ticket, reason, now)
             return
         self.counters["requeued"] += 1
         ticket = msgspec.structs.replace(ticket, requeued=True)
         cost = self._times.mean(ticket.route)
-        self._enqueue(ticket, cost, self._is_long(ticket.route), front=True)
+        self._enqueue(ticket, cost, self._is_long(ticket.route), now, front=True)
 
-    def _refuse(self, ticket: queueing.Ticket, reason: RefusalReason) -> None:
+    def _record_served(
+        self, ticket: queueing.Ticket, result: health.AttemptResult, now: float
+    ) -> None:
+        if result is health.AttemptResult.ANSWERED:
+            self._floor_guard.record_outcome(True, now)
+        elif result in UNSERVED_RESULTS and (ticket.avoid or not ticket.idempotent):
+            self._floor_guard.record_outcome(False, now)
+
+    def _refuse(self, ticket: queueing.Ticket, reason: RefusalReason, now: float) -> None:
+        if reason is not RefusalReason.NO_FREE_SLOT:
+            self._floor_guard.record_outcome(False, now)
         self.counters[f"refused-{reason.value}"] += 1
         self._effects.append(Refusal(ticket.ticket_id, reason))
 
-    def _refuse_all(self, tickets: Iterable[queueing.Ticket]) -> None:
+    def _refuse_all(self, tickets: Iterable[queueing.Ticket], now: float) -> None:
         for ticket in tickets:
-            self._refuse(ticket, RefusalReason.OVERLOADED)
+            self._refuse(ticket, RefusalReason.OVERLOADED, now)
 
     def _has_free_slot(self, ticket: queueing.Ticket, now: float) -> bool:
         if self._queue or not self._active:
@@ -443,14 +464,15 @@
         return (
             server is not None
             and server not in ticket.avoid
-            and not self._suspicion.is_suspect(server, now)
+            and (server in self._starved or not self._suspicion.is_suspect(server, now))
         )
 
     def _select_server(self, ticket: queueing.Ticket, now: float) -> models.ServerId | None:
         """Returns the best server with a free slot, or None.
 
-        Servers are ranked by ``avoid``, suspicion, proof, penalty, an idle connection and load;
-        ties are broken at random. An idle connection does not count for the last slot of a server.
+        Servers are ranked by ``avoid``, the floor, suspicion, proof, penalty, an idle connection
+        and load; ties are broken at random. An idle connection does not count for the last slot of
+        a server.
         """
         idempotent = ticket.idempotent
         connected = ticket.connected
@@ -469,6 +491,7 @@
             suspect = self._suspicion.is_suspect(address, now)
             rank = (
                 address in ticket.avoid,
+                address not in self._starved,
                 self._suspicion.log_odds(address, now) if suspect else 0.0,
                 address in self._unproven,
                 self.health.penalty(address, now),
@@ -492,7 +515,9 @@
 
     def _should_hold(self, ticket: queueing.Ticket, server: models.ServerId, now: float) -> bool:
         """Whether a ticket should wait for a server that is not suspected."""
-        if not self._suspicion.is_suspect(server, now) or self._all_suspect(now):
+        if server in self._starved or not self._suspicion.is_suspect(server, now):
+            return False
+        if self._all_suspect(now):
             return False
         first_attempt = not ticket.avoid
         if first_attempt and ticket.idempotent and self._suspicion.is_trial_due(server, now):
@@ -500,6 +525,9 @@
         share = gray_server.HOLD_SHARE if first_attempt else gray_server.RETRY_HOLD_SHARE
         return now < ticket.enqueued + share * (ticket.deadline - ticket.enqueued)
 
+    def _is_sound(self, now: float) -> Callable[[models.ServerId], bool]:
+        return lambda server: self._suspicion.since_failure_s(server, now) > gray_server.SOUND_S
+
     def _all_suspect(self, now: float) -> bool:
         return all(self._suspicion.is_suspect(address, now) for address in self._active)
 
@@ -553,6 +581,7 @@
         self._capacity = self._measure_capacity(now)
         self._good_slots = self._measure_good_slots(now)
         self._unproven = self._suspicion.unproven(self._active, now)
+        self._starved = self._floor_guard.starved(self._active, self._is_sound(now), now)
         self._long = self._times.long_routes(LONG_FACTOR, now, RECENT_S)
         gain = 1 - math.exp(-(now - self._refreshed_at) / GRANT_RATE_TAU_S)
         self._mean_short_in_flight += gain * (
