Send idempotent requests that take long to a second server

Cause: 3 in 100 requests take seven times as long as the others. Change: an idempotent request without an answer after 0.6 of the time to its objective is sent to a second server with a free slot, within the route's attempts and the retry budget. The first answer counts, the other request is cancelled. A hedge never waits for a slot.

--- a/dotterelfront/relay.py
+++ b/dotterelfront/relay.py
@@ -10,6 +10,10 @@
 if no byte of the request reached a server. Only then is a failure reported as "not run" (503); any
 other failure is 502 or 504. A complete and signed response of a server is relayed unchanged, unless
 its status would mean "not run" to the caller.
+
+An idempotent request whose answer takes long is hedged: it is also sent to a second server with a
+free slot, and the first answer counts. Few requests take many times as long as the others, and a
+second server mostly answers them in time.
 """
 
 import asyncio
@@ -44,6 +48,9 @@
 DEADLINE_MARGIN_S = 0.1
 """A server error less than this time before a request's deadline, or after it, counts as a timeout
 and not as a fault of the server."""
+HEDGE_SHARE = 0.6
+"""Share of the time until its objective after which an idempotent request is hedged. Usual work is
+done by then, and a second server can still answer in time."""
 
 
 class Call(msgspec.Struct):
@@ -171,7 +178,8 @@
         pool = self._choose_pool(route)
         req = _upstream_request(call, route)
         while True:
-            outcome = await self._attempt(call, route, pool, req, progress)
+            attempt = self._attempt_hedged if route.idempotent else self._attempt
+            outcome = await attempt(call, route, pool, req, progress)
             if (
                 outcome is None
                 or not self._record_outcome(route, outcome, progress)
@@ -179,6 +187,59 @@
             ):
                 return _answer(outcome or progress.last, progress)
 
+    async def _attempt_hedged(
+        self,
+        call: Call,
+        route: fleetmodel.FleetRoute,
+        pool: models.PoolName,
+        req: upstream.UpstreamRequest,
+        progress: _Progress,
+    ) -> _Outcome | None:
+        """Sends the request to one server, and to a second one if the answer takes long.
+
+        The first answer counts. Any other outcome of one server is kept until the other one ends.
+        """
+        tasks = [asyncio.ensure_future(self._attempt(call, route, pool, req, progress))]
+        try:
+            await asyncio.wait(tasks, timeout=self._hedge_delay_s(call, progress))
+            in_flight = len(progress.avoid) > progress.sent_attempts + progress.unreached_attempts
+            may_hedge = in_flight and progress.sent_attempts + 2 <= route.attempts
+            if not tasks[0].done() and may_hedge:
+                hedge = self._attempt(call, route, pool, req, progress, is_hedge=True)
+                tasks.append(asyncio.ensure_future(hedge))
+            return await self._first_answer(route, tasks, progress)
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _first_answer(
+        self,
+        route: fleetmodel.FleetRoute,
+        tasks: list[asyncio.Future],
+        progress: _Progress,
+    ) -> _Outcome | None:
+        """Returns the first answer, or the outcome of the attempt that ended last."""
+        last = None
+        pending = set(tasks)
+        while pending:
+            done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+            for task in done:
+                outcome = task.result()
+                if outcome is None:
+                    continue
+                if last is not None:
+                    self._record_outcome(route, last, progress)
+                last = outcome
+                if outcome.verdict is Verdict.ANSWERED:
+                    return outcome
+        return last
+
+    def _hedge_delay_s(self, call: Call, progress: _Progress) -> float:
+        objective_s = min(progress.objective, progress.deadline) - call.arrived
+        now = asyncio.get_running_loop().time()
+        return max(0.0, call.arrived + HEDGE_SHARE * objective_s - now)
+
     async def _attempt(
         self,
         call: Call,
@@ -186,13 +247,14 @@
         pool: models.PoolName,
         req: upstream.UpstreamRequest,
         progress: _Progress,
+        is_hedge: bool = False,
     ) -> _Outcome | None:
-        """Sends the request to one server; returns None if a retry gets no slot."""
+        """Sends the request to one server; returns None if a retry or a hedge gets no slot."""
         try:
-            requirements = self._slot_requirements(route, pool, progress)
+            requirements = self._slot_requirements(route, pool, progress, is_hedge)
             lease = await self._slots.acquire(requirements)
         except errors.OverloadedError:
-            if progress.last is None:
+            if progress.last is None and not is_hedge:
                 raise
             return None
         result = health.AttemptResult.CANCELLED
@@ -259,7 +321,11 @@
         )
 
     def _slot_requirements(
-        self, route: fleetmodel.FleetRoute, pool: models.PoolName, progress: _Progress
+        self,
+        route: fleetmodel.FleetRoute,
+        pool: models.PoolName,
+        progress: _Progress,
+        is_hedge: bool,
     ) -> slot_client.SlotRequirements:
         return slot_client.SlotRequirements(
             pool=pool,
@@ -267,10 +333,11 @@
             priority=route.priority,
             idempotent=route.idempotent,
             deadline=progress.deadline,
-            is_retry=progress.sent_attempts > 0,
+            is_retry=is_hedge or progress.sent_attempts > 0,
             avoid=(*progress.avoid, *self._unreachable_servers()),
             objective=progress.objective,
             connected=self._upstream.connected(pool, route.idempotent),
+            may_wait=not is_hedge,
         )
 
     def _unreachable_servers(self) -> list[models.ServerId]:
--- a/dotterelfront/slot_client.py
+++ b/dotterelfront/slot_client.py
@@ -59,6 +59,8 @@
     """Time by which a response meets the latency objective of the route."""
     connected: tuple[models.ServerId, ...] = ()
     """Servers to which the VM has a connection that the request may reuse."""
+    may_wait: bool = True
+    """Whether the request may wait for a slot; otherwise it takes only a free one."""
 
 
 class SlotLease(msgspec.Struct):
@@ -128,7 +130,7 @@
             result = await self._first_free(requirements, zones[1:]) or result
         if isinstance(result, SlotLease):
             return result
-        if not (requirements.is_retry and result is not None and result.reason is not NO_FREE_SLOT):
+        if requirements.may_wait and not _is_final(requirements, result):
             result = (
                 await self._wait(requirements, zones, spill_s if short_wait else POLL_S) or result
             )
@@ -259,6 +261,11 @@
         self._send(owner, fleet_messages.SlotRelease(self._vm.id, call_id, result))
 
 
+def _is_final(requirements: SlotRequirements, result: fleet_messages.SlotRefusal | None) -> bool:
+    """Whether waiting is of no use: the retry budget is used up, or the deadline is too close."""
+    return requirements.is_retry and result is not None and result.reason is not NO_FREE_SLOT
+
+
 def _is_short_wait(result: object, limit_s: float) -> bool:
     """Whether a zone without a free slot is expected to have one within ``limit_s``."""
     return (
