Let requests wait in the zone whose queue is much faster

Cause: a request for which no zone had a free slot waited in its own zone, also where all servers of that zone were suspected; the owner, which sees no other server, then sent it to one of them at once. Change: the request waits in the zone with the shortest expected wait, if that saves over a quarter of the time to its objective. A suspected server of the own zone still gets a first attempt every two seconds: refusals tell when that is due, so the floor holds and recovered servers are found. With all servers gray nothing changes.

--- a/dotterelfront/fleet_messages.py
+++ b/dotterelfront/fleet_messages.py
@@ -71,13 +71,15 @@
     """No slot is granted.
 
     ``retry_after_s`` is the time after which the caller may retry. ``expected_wait_s`` is the
-    expected wait in the queue, which is infinite when no server is healthy.
+    expected wait in the queue, which is infinite when no server is healthy. ``trial_due`` is set
+    when none is and one of them has had no request for some time.
     """
 
     call_id: int
     reason: pools.RefusalReason
     retry_after_s: float
     expected_wait_s: float
+    trial_due: bool = False
 
     def __post_init__(self):
         if not math.isfinite(self.retry_after_s) or math.isnan(self.expected_wait_s):
--- a/dotterelfront/pools.py
+++ b/dotterelfront/pools.py
@@ -306,6 +306,14 @@
             return math.inf
         return (self._queue.total_work() + self._times.mean(route)) / self._good_slots
 
+    def is_trial_due(self, now: float) -> bool:
+        """Whether all servers are suspected and one with a free slot should get a request."""
+        return self._all_suspect(now) and any(
+            self._busy[address] < self._usable_slots(server, now)
+            and self._suspicion.is_trial_due(address, now)
+            for address, server in self._active.items()
+        )
+
     def has_servers(self) -> bool:
         return bool(self._servers)
 
--- a/dotterelfront/slot_client.py
+++ b/dotterelfront/slot_client.py
@@ -7,9 +7,10 @@
     lease.release(health.AttemptResult.ANSWERED)
 
 A free slot in the VM's own zone is preferred, since traffic between zones costs money. The next
-choices are a short wait in the own zone, a free slot in another zone, and the queue in the own
-zone. When an owner does not answer, the next owner is asked; when none answers, this VM grants the
-slot itself.
+choices are a short wait in the own zone, a free slot in another zone, and the queue of a zone: the
+own one, unless another one is expected to be much faster. A zone whose servers are all suspected
+has no queue that is worth a wait. When an owner does not answer, the next owner is asked; when none
+answers, this VM grants the slot itself.
 """
 
 import asyncio
@@ -41,6 +42,9 @@
 """Retry delay for a refused caller when no estimate is available."""
 NO_FREE_SLOT = pools.RefusalReason.NO_FREE_SLOT
 
+Refusals = dict[models.ZoneName, fleet_messages.SlotRefusal]
+"""The zones that refused a request, in the order in which they were asked."""
+
 
 class SlotRequirements(msgspec.Struct, frozen=True):
     """A request's requirements for a slot.
@@ -120,20 +124,19 @@
         zones = self._ordered_zones(requirements.pool)
         if not zones:
             raise errors.OverloadedError("the pool has no servers", NO_SERVER_RETRY_S)
-        result = await self._ask_zone(requirements, zones[0], wait=False)
-        remaining_s = (
-            min(requirements.objective, requirements.deadline) - asyncio.get_running_loop().time()
-        )
-        spill_s = SPILL_SHARE * max(0.0, remaining_s)
-        short_wait = _is_short_wait(result, spill_s)
-        if not short_wait and not isinstance(result, SlotLease):
-            result = await self._first_free(requirements, zones[1:]) or result
-        if isinstance(result, SlotLease):
-            return result
+        refusals: Refusals = {}
+        lease = await self._first_free(requirements, zones[:1], refusals)
+        spill_s = _spill_s(requirements)
+        short_wait = _is_short_wait(refusals.get(zones[0]), spill_s)
+        if lease is None and not short_wait:
+            lease = await self._first_free(requirements, zones[1:], refusals)
+        if lease is not None:
+            return lease
+        result = next(reversed(refusals.values()), None)
         if requirements.may_wait and not _is_final(requirements, result):
-            result = (
-                await self._wait(requirements, zones, spill_s if short_wait else POLL_S) or result
-            )
+            ordered = _waiting_order(requirements, zones, refusals, spill_s)
+            poll_s = spill_s if short_wait else POLL_S
+            result = await self._wait(requirements, ordered, poll_s) or result
         if isinstance(result, SlotLease):
             return result
         raise errors.OverloadedError(
@@ -141,16 +144,19 @@
         )
 
     async def _first_free(
-        self, requirements: SlotRequirements, zones: Sequence[models.ZoneName]
-    ) -> "SlotLease | fleet_messages.SlotRefusal | None":
-        """Asks the zones in turn for a free slot; returns the last refusal if there is none."""
-        refusal = None
+        self,
+        requirements: SlotRequirements,
+        zones: Sequence[models.ZoneName],
+        refusals: Refusals,
+    ) -> "SlotLease | None":
+        """Asks the zones in turn for a free slot and adds their refusals to ``refusals``."""
         for zone in zones:
             result = await self._ask_zone(requirements, zone, wait=False)
             if isinstance(result, SlotLease):
                 return result
-            refusal = result or refusal
-        return refusal
+            if result is not None:
+                refusals[zone] = result
+        return None
 
     async def _wait(
         self, requirements: SlotRequirements, zones: Sequence[models.ZoneName], poll_s: float
@@ -162,12 +168,12 @@
         waiting = asyncio.ensure_future(self._ask_zone(requirements, zones[0], wait=True))
         spilled = None
         try:
-            while not waiting.done() and not isinstance(spilled, SlotLease):
+            while not waiting.done() and spilled is None:
                 await asyncio.wait([waiting], timeout=poll_s)
                 poll_s = POLL_S
                 if not waiting.done():
-                    spilled = await self._first_free(requirements, zones[1:])
-            return spilled if isinstance(spilled, SlotLease) else waiting.result()
+                    spilled = await self._first_free(requirements, zones[1:], {})
+            return spilled or waiting.result()
         finally:
             _abandon(waiting, acquired=spilled)
 
@@ -266,20 +272,51 @@
     return requirements.is_retry and result is not None and result.reason is not NO_FREE_SLOT
 
 
-def _is_short_wait(result: object, limit_s: float) -> bool:
+def _spill_s(requirements: SlotRequirements) -> float:
+    """Returns the longest wait in the own zone that is preferred to another zone."""
+    end = min(requirements.objective, requirements.deadline)
+    return SPILL_SHARE * max(0.0, end - asyncio.get_running_loop().time())
+
+
+def _is_short_wait(refusal: fleet_messages.SlotRefusal | None, limit_s: float) -> bool:
     """Whether a zone without a free slot is expected to have one within ``limit_s``."""
     return (
-        isinstance(result, fleet_messages.SlotRefusal)
-        and result.reason is NO_FREE_SLOT
-        and result.expected_wait_s <= limit_s
+        refusal is not None
+        and refusal.reason is NO_FREE_SLOT
+        and refusal.expected_wait_s <= limit_s
     )
 
 
-def _abandon(waiting: asyncio.Future, acquired: object) -> None:
+def _waiting_order(
+    requirements: SlotRequirements,
+    zones: Sequence[models.ZoneName],
+    refusals: Refusals,
+    spill_s: float,
+) -> list[models.ZoneName]:
+    """Returns the zones with the one in whose queue the request waits first.
+
+    This is the own zone, unless the wait in another zone is shorter by more than ``spill_s``. A
+    first attempt also stays in its own zone if that is about to test a suspected server.
+    """
+    own = zones[0]
+    waits_s = {
+        zone: refusal.expected_wait_s
+        for zone, refusal in refusals.items()
+        if refusal.reason is NO_FREE_SLOT
+    }
+    is_trial = own in refusals and refusals[own].trial_due and not requirements.is_retry
+    best = min(waits_s, key=waits_s.get, default=own)
+    gain_s = waits_s.get(own, math.inf) - waits_s.get(best, math.inf)
+    if is_trial or math.isnan(gain_s) or gain_s <= spill_s:
+        return [*zones]
+    return [best, *(zone for zone in zones if zone != best)]
+
+
+def _abandon(waiting: asyncio.Future, acquired: "SlotLease | None") -> None:
     """Cancels a queued request, or releases its slot if another slot was acquired."""
     if not waiting.done():
         waiting.cancel()
-    elif isinstance(acquired, SlotLease) and not waiting.cancelled() and not waiting.exception():
+    elif acquired is not None and not waiting.cancelled() and not waiting.exception():
         lease = waiting.result()
         if isinstance(lease, SlotLease):
             lease.release(health.AttemptResult.CANCELLED)
--- a/dotterelfront/slot_owner.py
+++ b/dotterelfront/slot_owner.py
@@ -295,7 +295,8 @@
         wait_s = shard.queue.expected_wait_s(route, now)
         jittered_s = wait_s * self._rng.uniform(0.8, 1.4)
         retry_after_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, jittered_s))
-        return fleet_messages.SlotRefusal(call_id, reason, retry_after_s, wait_s)
+        trial_due = shard.queue.is_trial_due(now)
+        return fleet_messages.SlotRefusal(call_id, reason, retry_after_s, wait_s, trial_due)
 
     def _new_budget(self, now: float) -> retries.RetryBudget:
         limits = self._limits
