Let queued requests leave a zone whose servers are all suspected

Change: a request that could wait in another zone says so. Its owner refuses it when all servers are suspected, unless one is due for a test, and the request waits in the next best zone. If no zone has a healthy server, it takes any server of its own zone, as before.

--- a/dotterelfront/fleet_messages.py
+++ b/dotterelfront/fleet_messages.py
@@ -30,8 +30,9 @@
     ``remaining_s`` is the time until the request's deadline. Without ``wait``, the reply is a free
     slot or a refusal at once. ``is_retry`` is set for a retry of a request that was already sent to
     a server, and ``avoid`` lists servers to grant only when no other one has a free slot. Servers
-    in ``connected`` are preferred, which saves a new connection. A second message with the same
-    ``call_id`` asks whether the request is still queued.
+    in ``connected`` are preferred, which saves a new connection. With ``healthy_only`` the request
+    waits only until all servers are suspected, because it can wait in another zone. A second
+    message with the same ``call_id`` asks whether the request is still queued.
     """
 
     sender: models.VmId
@@ -47,6 +48,7 @@
     is_retry: bool
     avoid: tuple[models.ServerId, ...] = ()
     connected: tuple[models.ServerId, ...] = ()
+    healthy_only: bool = False
 
     def __post_init__(self):
         # A slot with a deadline that is no number would never be reclaimed.
--- a/dotterelfront/pools.py
+++ b/dotterelfront/pools.py
@@ -180,6 +180,8 @@
         cost = self._times.mean(ticket.route)
         if not self._active:
             self._refuse(ticket, RefusalReason.OVERLOADED, now)
+        elif ticket.healthy_only and self._sends_away(now):
+            self._refuse(ticket, RefusalReason.NO_FREE_SLOT, now)
         elif now + self._expected_time(ticket, cost, long, now) >= ticket.deadline:
             self._refuse(ticket, RefusalReason.DEADLINE, now)
         else:
@@ -362,7 +364,10 @@
         for ticket in self._queue.remove_expired(now):
             self._refuse(ticket, RefusalReason.DEADLINE, now)
         if not self._active:
-            self._refuse_all(self._queue.remove_all(), now)
+            self._refuse_all(self._queue.remove_all(), RefusalReason.OVERLOADED, now)
+        elif self._queue and self._sends_away(now):
+            tickets = self._queue.remove_healthy_only()
+            self._refuse_all(tickets, RefusalReason.NO_FREE_SLOT, now)
         self._mark_overdue(now)
         self._slots_exhausted = False
         while self._queue:
@@ -461,9 +466,11 @@
         self.counters[f"refused-{reason.value}"] += 1
         self._effects.append(Refusal(ticket.ticket_id, reason))
 
-    def _refuse_all(self, tickets: Iterable[queueing.Ticket], now: float) -> None:
+    def _refuse_all(
+        self, tickets: Iterable[queueing.Ticket], reason: RefusalReason, now: float
+    ) -> None:
         for ticket in tickets:
-            self._refuse(ticket, RefusalReason.OVERLOADED, now)
+            self._refuse(ticket, reason, now)
 
     def _has_free_slot(self, ticket: queueing.Ticket, now: float) -> bool:
         if self._queue or not self._active:
@@ -536,6 +543,10 @@
     def _is_sound(self, now: float) -> Callable[[models.ServerId], bool]:
         return lambda server: self._suspicion.since_failure_s(server, now) > gray_server.SOUND_S
 
+    def _sends_away(self, now: float) -> bool:
+        """Whether tickets that can wait in another zone should leave this shard."""
+        return self._all_suspect(now) and not self.is_trial_due(now)
+
     def _all_suspect(self, now: float) -> bool:
         return all(self._suspicion.is_suspect(address, now) for address in self._active)
 
--- a/dotterelfront/queueing.py
+++ b/dotterelfront/queueing.py
@@ -62,6 +62,8 @@
     """Servers that are used only when no other server has a free slot."""
     connected: frozenset[models.ServerId] = frozenset()
     """Servers that are preferred because the caller's VM has an idle connection to them."""
+    healthy_only: bool = False
+    """Whether the ticket waits only until all servers are suspected."""
 
 
 class Entry(msgspec.Struct, eq=False):
@@ -308,6 +310,11 @@
     def remove_all(self) -> list[Ticket]:
         return [self.remove(ticket_id) for ticket_id in list(self._entries)]
 
+    def remove_healthy_only(self) -> list[Ticket]:
+        """Removes and returns the tickets that wait only for servers that are not suspected."""
+        ids = [number for number, entry in self._entries.items() if entry.ticket.healthy_only]
+        return [self.remove(ticket_id) for ticket_id in ids]
+
     def work_ahead(self, ticket: Ticket, cost: float, long: bool) -> tuple[float, float]:
         """Returns the slot time in seconds ahead of a new ticket, as (higher classes, own class).
 
--- a/dotterelfront/slot_client.py
+++ b/dotterelfront/slot_client.py
@@ -14,6 +14,7 @@
 """
 
 import asyncio
+import enum
 import itertools
 import math
 import random
@@ -46,6 +47,15 @@
 """The zones that refused a request, in the order in which they were asked."""
 
 
+class Wait(enum.Enum):
+    """Whether a request waits in the queue of a zone that has no free slot for it."""
+
+    NO = "no"
+    HEALTHY_ONLY = "healthy-only"
+    """It waits until all servers of the zone are suspected."""
+    ANY = "any"
+
+
 class SlotRequirements(msgspec.Struct, frozen=True):
     """A request's requirements for a slot.
 
@@ -127,53 +137,79 @@
         refusals: Refusals = {}
         lease = await self._first_free(requirements, zones[:1], refusals)
         spill_s = _spill_s(requirements)
-        short_wait = _is_short_wait(refusals.get(zones[0]), spill_s)
-        if lease is None and not short_wait:
+        is_short = _is_short_wait(refusals.get(zones[0]), spill_s)
+        if lease is None and not is_short:
             lease = await self._first_free(requirements, zones[1:], refusals)
-        if lease is not None:
-            return lease
-        result = next(reversed(refusals.values()), None)
-        if requirements.may_wait and not _is_final(requirements, result):
-            ordered = _waiting_order(requirements, zones, refusals, spill_s)
-            poll_s = spill_s if short_wait else POLL_S
-            result = await self._wait(requirements, ordered, poll_s) or result
-        if isinstance(result, SlotLease):
-            return result
-        raise errors.OverloadedError(
-            "no slot is available", result.retry_after_s if result else NO_SERVER_RETRY_S
-        )
+        if lease is None and requirements.may_wait and not _is_final(requirements, refusals):
+            poll_s = spill_s if is_short else POLL_S
+            lease = await self._wait(requirements, zones, refusals, poll_s)
+        if lease is None:
+            raise errors.OverloadedError("no slot is available", _retry_after_s(refusals))
+        return lease
 
     async def _first_free(
         self,
         requirements: SlotRequirements,
         zones: Sequence[models.ZoneName],
         refusals: Refusals,
-    ) -> "SlotLease | None":
+    ) -> SlotLease | None:
         """Asks the zones in turn for a free slot and adds their refusals to ``refusals``."""
         for zone in zones:
-            result = await self._ask_zone(requirements, zone, wait=False)
+            result = await self._ask_zone(requirements, zone, Wait.NO)
             if isinstance(result, SlotLease):
                 return result
-            if result is not None:
-                refusals[zone] = result
+            _add_refusal(refusals, zone, result)
         return None
 
     async def _wait(
-        self, requirements: SlotRequirements, zones: Sequence[models.ZoneName], poll_s: float
-    ) -> "SlotLease | fleet_messages.SlotRefusal | None":
-        """Waits in the queue of the first zone and polls the other zones for a free slot.
+        self,
+        requirements: SlotRequirements,
+        zones: Sequence[models.ZoneName],
+        refusals: Refusals,
+        poll_s: float,
+    ) -> SlotLease | None:
+        """Waits in the queue of a zone, and in the next one when all servers of it are suspected.
+
+        Other zones are polled for a free slot, after ``poll_s`` for the first time.
+        """
+        while True:
+            zone, wait = _waiting_zone(requirements, zones, refusals)
+            others = [other for other in zones if other != zone]
+            lease = await self._queue(requirements, zone, wait, others, refusals, poll_s)
+            may_move = wait is Wait.HEALTHY_ONLY and _has_no_free_slot(refusals.get(zone))
+            if lease is not None or not may_move:
+                return lease
+            poll_s = POLL_S
+            lease = await self._first_free(requirements, others, refusals)
+            if lease is not None:
+                return lease
+
+    async def _queue(
+        self,
+        requirements: SlotRequirements,
+        zone: models.ZoneName,
+        wait: Wait,
+        others: Sequence[models.ZoneName],
+        refusals: Refusals,
+        poll_s: float,
+    ) -> SlotLease | None:
+        """Waits in the queue of ``zone`` and polls ``others`` for a free slot.
 
         The first poll happens after ``poll_s``, the following ones every ``POLL_S``.
         """
-        waiting = asyncio.ensure_future(self._ask_zone(requirements, zones[0], wait=True))
+        waiting = asyncio.ensure_future(self._ask_zone(requirements, zone, wait))
         spilled = None
         try:
             while not waiting.done() and spilled is None:
                 await asyncio.wait([waiting], timeout=poll_s)
                 poll_s = POLL_S
                 if not waiting.done():
-                    spilled = await self._first_free(requirements, zones[1:], {})
-            return spilled or waiting.result()
+                    spilled = await self._first_free(requirements, others, refusals)
+            result = spilled or waiting.result()
+            if isinstance(result, SlotLease):
+                return result
+            _add_refusal(refusals, zone, result)
+            return None
         finally:
             _abandon(waiting, acquired=spilled)
 
@@ -183,8 +219,8 @@
         return sorted(zones, key=lambda zone: zone != self._vm.zone)
 
     async def _ask_zone(
-        self, requirements: SlotRequirements, zone: models.ZoneName, wait: bool
-    ) -> "SlotLease | fleet_messages.SlotRefusal | None":
+        self, requirements: SlotRequirements, zone: models.ZoneName, wait: Wait
+    ) -> SlotLease | fleet_messages.SlotRefusal | None:
         """Asks the owners of a zone in turn, then this VM; returns None when none answers."""
         owners = [*self._topology.owners(requirements.pool, zone)[:MAX_OWNERS_ASKED]]
         if all(owner.id != self._vm.id for owner in owners):
@@ -197,8 +233,8 @@
         return None
 
     async def _ask(
-        self, requirements: SlotRequirements, zone: models.ZoneName, owner: models.Vm, wait: bool
-    ) -> "SlotLease | fleet_messages.SlotRefusal":
+        self, requirements: SlotRequirements, zone: models.ZoneName, owner: models.Vm, wait: Wait
+    ) -> SlotLease | fleet_messages.SlotRefusal:
         loop = asyncio.get_running_loop()
         call_id = next(self._call_ids)
         replies = self._replies[call_id] = asyncio.Queue()
@@ -242,7 +278,7 @@
         zone: models.ZoneName,
         call_id: int,
         now: float,
-        wait: bool,
+        wait: Wait,
     ) -> fleet_messages.SlotRequest:
         return fleet_messages.SlotRequest(
             sender=self._vm.id,
@@ -254,10 +290,11 @@
             priority=requirements.priority,
             idempotent=requirements.idempotent,
             remaining_s=requirements.deadline - now,
-            wait=wait,
+            wait=wait is not Wait.NO,
             is_retry=requirements.is_retry,
             avoid=requirements.avoid,
             connected=requirements.connected,
+            healthy_only=wait is Wait.HEALTHY_ONLY,
         )
 
     def _lease(self, owner: models.Vm, call_id: int, server: models.ServerId) -> SlotLease:
@@ -267,9 +304,28 @@
         self._send(owner, fleet_messages.SlotRelease(self._vm.id, call_id, result))
 
 
-def _is_final(requirements: SlotRequirements, result: fleet_messages.SlotRefusal | None) -> bool:
+def _add_refusal(
+    refusals: Refusals, zone: models.ZoneName, refusal: fleet_messages.SlotRefusal | None
+) -> None:
+    """Makes ``refusal`` the last one, or forgets a zone in which no owner answered."""
+    refusals.pop(zone, None)
+    if refusal is not None:
+        refusals[zone] = refusal
+
+
+def _last_refusal(refusals: Refusals) -> fleet_messages.SlotRefusal | None:
+    return next(reversed(refusals.values()), None)
+
+
+def _retry_after_s(refusals: Refusals) -> float:
+    refusal = _last_refusal(refusals)
+    return refusal.retry_after_s if refusal is not None else NO_SERVER_RETRY_S
+
+
+def _is_final(requirements: SlotRequirements, refusals: Refusals) -> bool:
     """Whether waiting is of no use: the retry budget is used up, or the deadline is too close."""
-    return requirements.is_retry and result is not None and result.reason is not NO_FREE_SLOT
+    refusal = _last_refusal(refusals)
+    return requirements.is_retry and refusal is not None and not _has_no_free_slot(refusal)
 
 
 def _spill_s(requirements: SlotRequirements) -> float:
@@ -278,41 +334,41 @@
     return SPILL_SHARE * max(0.0, end - asyncio.get_running_loop().time())
 
 
+def _has_no_free_slot(refusal: fleet_messages.SlotRefusal | None) -> bool:
+    """Whether a zone refused only because it has no free slot of a server it may use."""
+    return refusal is not None and refusal.reason is NO_FREE_SLOT
+
+
 def _is_short_wait(refusal: fleet_messages.SlotRefusal | None, limit_s: float) -> bool:
     """Whether a zone without a free slot is expected to have one within ``limit_s``."""
-    return (
-        refusal is not None
-        and refusal.reason is NO_FREE_SLOT
-        and refusal.expected_wait_s <= limit_s
-    )
-
-
-def _waiting_order(
-    requirements: SlotRequirements,
-    zones: Sequence[models.ZoneName],
-    refusals: Refusals,
-    spill_s: float,
-) -> list[models.ZoneName]:
-    """Returns the zones with the one in whose queue the request waits first.
-
-    This is the own zone, unless the wait in another zone is shorter by more than ``spill_s``. A
-    first attempt also stays in its own zone if that is about to test a suspected server.
+    return _has_no_free_slot(refusal) and refusal.expected_wait_s <= limit_s
+
+
+def _waiting_zone(
+    requirements: SlotRequirements, zones: Sequence[models.ZoneName], refusals: Refusals
+) -> tuple[models.ZoneName, Wait]:
+    """Returns the zone in whose queue the request waits, and how it waits there.
+
+    This is the own zone, unless the wait in another zone is much shorter. A first attempt also
+    stays in its own zone if that is about to test a suspected server. Without a healthy server in
+    any zone, the request takes any server of its own zone.
     """
     own = zones[0]
     waits_s = {
         zone: refusal.expected_wait_s
         for zone, refusal in refusals.items()
-        if refusal.reason is NO_FREE_SLOT
+        if _has_no_free_slot(refusal)
     }
-    is_trial = own in refusals and refusals[own].trial_due and not requirements.is_retry
+    if own in waits_s and refusals[own].trial_due and not requirements.is_retry:
+        return own, Wait.HEALTHY_ONLY
     best = min(waits_s, key=waits_s.get, default=own)
-    gain_s = waits_s.get(own, math.inf) - waits_s.get(best, math.inf)
-    if is_trial or math.isnan(gain_s) or gain_s <= spill_s:
-        return [*zones]
-    return [best, *(zone for zone in zones if zone != best)]
+    if waits_s.get(best, math.inf) == math.inf:
+        return own, Wait.ANY
+    gain_s = waits_s.get(own, math.inf) - waits_s[best]
+    return (own if gain_s <= _spill_s(requirements) else best), Wait.HEALTHY_ONLY
 
 
-def _abandon(waiting: asyncio.Future, acquired: "SlotLease | None") -> None:
+def _abandon(waiting: asyncio.Future, acquired: SlotLease | None) -> None:
     """Cancels a queued request, or releases its slot if another slot was acquired."""
     if not waiting.done():
         waiting.cancel()
--- a/dotterelfront/slot_owner.py
+++ b/dotterelfront/slot_owner.py
@@ -188,6 +188,7 @@
             enqueued=now,
             avoid=frozenset(message.avoid),
             connected=frozenset(message.connected),
+            healthy_only=message.healthy_only,
         )
         self._apply_effects(shard_key, shard.queue.submit(ticket, now, wait=message.wait), now)
         if shard.queue.queued(call.ticket_id):
--- a/tests/test_gray_zone.py
+++ b/tests/test_gray_zone.py
@@ -19,7 +19,7 @@
     slot_client,
     slot_owner,
 )
-from tests import virtual_time
+from tests import test_slot_client, test_slot_owner, virtual_time
 
 POOL = models.PoolName("archive")
 ZONES = tuple(models.ZoneName(name) for name in "abc")
@@ -161,3 +161,26 @@
     """Guards against holding requests for better servers that no zone has."""
     fleet = play(gray_zones=ZONES)
     assert sum(map(len, fleet.sent.values())) > 0.9 * fleet.outcomes.total()
+
+
+@pytest.mark.parametrize(("healthy_only", "sent"), [(True, 1), (False, 6)])
+def test_a_queue_does_not_drain_into_a_server_that_turns_gray(healthy_only, sent):
+    """Guards against a gray server that fails all requests that waited for a healthy one."""
+    owner = test_slot_owner.Owner(names=("i-1",))
+    for call_id in range(test_slot_owner.SLOTS + 5):
+        owner.ask(call_id, healthy_only=healthy_only)
+    owner.end(0, health.AttemptResult.SERVER_ERROR)
+    waiting = range(test_slot_owner.SLOTS, test_slot_owner.SLOTS + 5)
+    granted = [call_id for call_id in waiting if test_slot_owner.granted(owner.last(call_id))]
+    assert len(granted) < sent
+    for call_id in set(waiting) - set(granted):
+        if healthy_only:
+            assert owner.last(call_id).reason is slot_client.NO_FREE_SLOT
+
+
+def test_a_request_leaves_a_zone_that_has_no_healthy_server_left(monkeypatch):
+    """Guards against a refusal of a request that another zone can still serve in time."""
+    full = slot_client.NO_FREE_SLOT
+    script = {"a1": [full, "waiting", "all suspected"], "b1": [full, full, "waiting", "i-2"]}
+    fleet = test_slot_client.Fleet(monkeypatch, script)
+    assert fleet.acquire().server == "i-2"
--- a/tests/test_slot_client.py
+++ b/tests/test_slot_client.py
@@ -1,6 +1,7 @@
 """Slot client: asks the nearest zone first and skips owners that do not answer."""
 
 import asyncio
+import math
 
 import pytest
 
@@ -76,6 +77,8 @@
 def reply(step, call_id):
     if step == "short wait":
         return fleet_messages.SlotRefusal(call_id, NO_FREE_SLOT, 0.4, expected_wait_s=0.05)
+    if step == "all suspected":
+        return fleet_messages.SlotRefusal(call_id, NO_FREE_SLOT, 0.4, expected_wait_s=math.inf)
     if isinstance(step, pools.RefusalReason):
         return fleet_messages.SlotRefusal(call_id, step, 0.4, expected_wait_s=0.4)
     if step == "waiting":
