Test suspected servers with one request at a time while others wait elsewhere

Cause: a zone whose servers were all suspected, often after one chance failure, got one request in two seconds from those that can wait in other zones. Change: such a server is tested by one request at a time, with the pauses that failures in a row bring about.

--- a/dotterelfront/fleet_messages.py
+++ b/dotterelfront/fleet_messages.py
@@ -74,7 +74,7 @@
 
     ``retry_after_s`` is the time after which the caller may retry. ``expected_wait_s`` is the
     expected wait in the queue, which is infinite when no server is healthy. ``trial_due`` is set
-    when none is and one of them has had no request for some time.
+    when none is and one of them should be tested by a request.
     """
 
     call_id: int
--- a/dotterelfront/pools.py
+++ b/dotterelfront/pools.py
@@ -309,11 +309,9 @@
         return (self._queue.total_work() + self._times.mean(route)) / self._good_slots
 
     def is_trial_due(self, now: float) -> bool:
-        """Whether all servers are suspected and one with a free slot should get a request."""
+        """Whether all servers are suspected and one of them should be tested by a request."""
         return self._all_suspect(now) and any(
-            self._busy[address] < self._usable_slots(server, now)
-            and self._suspicion.is_trial_due(address, now)
-            for address, server in self._active.items()
+            self._is_testable(address, now) for address in self._active
         )
 
     def has_servers(self) -> bool:
@@ -493,10 +491,11 @@
         connected = ticket.connected
         if connected and self._rng.random() < EXPLORE_SHARE:
             connected = frozenset()
+        is_test = ticket.healthy_only and self._all_suspect(now)
         best, best_rank, ties = None, None, 0
         for address, server in self._active.items():
             busy = self._busy[address]
-            if busy >= server.slots:
+            if busy >= server.slots or (is_test and not self._is_testable(address, now)):
                 continue
             if self.shedding.is_paused(address, now) or self._is_withheld(ticket, address, now):
                 continue
@@ -521,6 +520,13 @@
                     best = address
         return best
 
+    def _is_testable(self, address: models.ServerId, now: float) -> bool:
+        """Whether a suspected server may get a request that could wait in another zone.
+
+        It gets one at a time, with longer pauses the more of them fail.
+        """
+        return not self._busy[address] and not self._suspicion.is_paused(address, now)
+
     def _is_withheld(self, ticket: queueing.Ticket, address: models.ServerId, now: float) -> bool:
         """Whether a non-idempotent request must not use a server after consecutive failures."""
         if ticket.idempotent:
