Test that suspected servers stay in use while requests are refused

Cause: the floor counts a server as healthy two seconds after its last failure, so under pressure each suspected server needs a request in any two seconds. Change: a test of that for look-ups and orders with two of three zones gray.

--- a/tests/test_gray_zone.py
+++ b/tests/test_gray_zone.py
@@ -147,14 +147,27 @@
     assert fleet.outcomes["answered"] > 0.85 * total
 
 
-def test_suspected_servers_get_requests_while_the_others_are_full():
-    """Guards against a recovered server that stays unused while requests are refused."""
+def pauses(fleet, server):
+    """Returns the times between the requests of a server."""
+    times = [0.0, *fleet.sent[server], SECONDS]
+    return [later - earlier for earlier, later in zip(times, times[1:], strict=False)]
+
+
+def test_suspected_servers_get_few_requests():
+    """Guards against a gray zone that is used like a healthy one, and one that is never used."""
     fleet = play()
     for server in ("c-0", "c-1"):
-        times = [0.0, *fleet.sent[server], SECONDS]
-        pauses = [later - earlier for earlier, later in zip(times, times[1:], strict=False)]
-        assert max(pauses) < 3 * FLOOR_WINDOW_S
-        assert len(times) < SECONDS
+        assert max(pauses(fleet, server)) < 3 * FLOOR_WINDOW_S
+        assert len(fleet.sent[server]) < SECONDS
+
+
+@pytest.mark.parametrize("idempotent", [True, False])
+def test_suspected_servers_are_tested_while_requests_are_refused(idempotent):
+    """Guards against the floor: servers count as healthy two seconds after their last failure."""
+    fleet = play(gray_zones=ZONES[1:], idempotent=idempotent)
+    assert fleet.outcomes["refused"] > 0.1 * fleet.outcomes.total()
+    for server in ("b-0", "b-1", "c-0", "c-1"):
+        assert max(pauses(fleet, server)) < FLOOR_WINDOW_S
 
 
 def test_requests_use_suspected_servers_when_all_are_suspected():
