Reserve no more slots than short requests use

Cause: one request of a short route in ten seconds reserved two of six slots, since the need was rounded up and one was added. Change: twice the mean number of short requests in flight is reserved, at least one slot, at most a quarter, as before. Measured: tests/test_pools.py, zones of 6, 12 and 18 slots with rare short requests: long ones use all but one slot (all but two before, where the test fails).

--- a/dotterelfront/pools.py
+++ b/dotterelfront/pools.py
@@ -636,7 +636,7 @@
         )
         if not short_in_use:
             return self._capacity
-        need = 1 + math.ceil(2 * self._mean_short_in_flight)
+        need = max(1, math.ceil(2 * self._mean_short_in_flight))
         return max(1, self._capacity - min(need, math.ceil(RESERVED_SHARE * self._capacity)))
 
     def _forget_route(self, route: models.RouteName) -> None:
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -267,6 +267,27 @@
     assert isinstance(grant, pools.Grant)
 
 
+@pytest.mark.parametrize(("servers", "long_slots"), [([6], 5), ([6, 6], 11), ([6, 6, 6], 17)])
+def test_rare_short_requests_reserve_one_slot(servers, long_slots):
+    """Guards against a load peak at which a third of a small zone's slots is idle.
+
+    A short request comes every two seconds and takes 10 ms; long ones fill the queue.
+    """
+    shard = make_shard(servers)
+    now = learn_service_time(shard, "short", 0.01)
+    now = learn_service_time(shard, "long", 1.0, now)
+    for step in range(200):
+        now += 0.05
+        if step % 40 == 0:
+            [grant] = fill(shard, "short", 1, now - 0.005, 100 + step)
+        shard.tick(now)
+        shard.complete(grant.attempt_id, RESULT.ANSWERED, now + 0.005)
+    granted = fill(shard, "long", 40, now, 400)
+    assert len([effect for effect in granted if isinstance(effect, pools.Grant)]) == long_slots
+    [grant] = fill(shard, "short", 1, now, 500)
+    assert isinstance(grant, pools.Grant)
+
+
 def test_stragglers_of_a_short_route_do_not_use_reserved_slots():
     """Guards against stragglers that fill all slots because their route is usually short."""
     shard = make_shard([4, 4])
