Compute the rates of all peers of a shard in one pass

Cause: each half second the rates of a server's peers were collected and sorted for each server anew, which is quadratic: at 370 servers it took more of a request's processor time than the choice of a server. Change: peers are sorted once; prefix sums give the sums without a server's own row. Baselines of latencies are shared by the servers without samples. Results are the same up to rounding.

--- a/dotterelfront/evidence.py
+++ b/dotterelfront/evidence.py
@@ -2,6 +2,7 @@
 
 import collections
 import math
+import operator
 
 from dotterelfront import models
 
@@ -66,21 +67,57 @@
             for server, values in by_server.items()
             if len(values) >= MIN_PEER_LATENCIES
         )
-        result = {}
-        for server in servers:
-            peers = [median for median, other in medians if other != server]
-            if peers:
-                result[server] = peers[(len(peers) - 1) // 2]
+        middle = _lower_median(medians)
+        result = {} if middle is None else dict.fromkeys(servers, middle)
+        for position, (_, server) in enumerate(medians):
+            middle = _lower_median(medians[:position] + medians[position + 1 :])
+            if server in result and middle is None:
+                del result[server]
+            elif server in result:
+                result[server] = middle
         return result
 
 
+def _lower_median(medians: list[tuple[float, models.ServerId]]) -> float | None:
+    return medians[(len(medians) - 1) // 2][0] if medians else None
+
+
+class PeerSums:
+    """Sums over the best two thirds of the peers of each server.
+
+    ``rows`` has one row of counts per server that may be a peer, the best server first::
+
+        sums = PeerSums([(20.0, 0.0), (9.0, 1.0), (8.0, 4.0)])
+        sums.without(1)       # (20.0, 0.0): the worse one of the two peers is dropped
+        sums.without(None)    # (29.0, 1.0): for a server that is no peer of others
+    """
+
+    def __init__(self, rows: list[tuple[float, ...]]):
+        self._rows = rows
+        self._prefix_sums = [tuple(0.0 for _ in range(len(rows[0]) if rows else 0))]
+        for row in rows:
+            sums = self._prefix_sums[-1]
+            self._prefix_sums.append(tuple(map(operator.add, sums, row)))
+
+    def without(self, position: int | None) -> tuple[float, ...]:
+        """Returns the sums for the server whose own row is at ``position``."""
+        kept = _best_two_thirds(len(self._rows) - (position is not None))
+        if position is None or position >= kept:
+            return self._prefix_sums[kept]
+        return tuple(map(operator.sub, self._prefix_sums[kept + 1], self._rows[position]))
+
+
+def _best_two_thirds(count: int) -> int:
+    """Returns how many of ``count`` peers are kept; a single one is."""
+    return count - -(-count // 3) if count > 1 else count
+
+
 def drop_worst_third(ranked: list) -> list:
     """Returns the peers without the worst third, rounded up; a single peer is kept.
 
     Each item is a tuple whose first field is the peer's rate; a higher rate is worse.
     """
-    ranked = sorted(ranked, key=lambda item: item[0])
-    return ranked[: len(ranked) - -(-len(ranked) // 3)] if len(ranked) > 1 else ranked
+    return sorted(ranked, key=lambda item: item[0])[: _best_two_thirds(len(ranked))]
 
 
 def estimate_healthy_rate(bad: float, total: float, min_rate: float) -> float:
--- a/dotterelfront/health.py
+++ b/dotterelfront/health.py
@@ -548,15 +548,19 @@
             entry.slow *= decay
         for route, latencies in self._latencies.items():
             self._baselines[route] = latencies.baselines(self._servers)
-        for address, entry in self._servers.items():
-            peers = [(p.failed + p.slow, p) for p in self._peers(address) if p.total]
-            ranked = [(bad / p.total, p.total, p) for bad, p in peers]
-            best = [p for _, _, p in evidence.drop_worst_third(ranked)]
-            total = sum(p.total for p in best)
-            failed, slow = sum(p.failed for p in best), sum(p.slow for p in best)
+        peers = [entry for entry in self._servers.values() if self._is_rated_peer(entry)]
+        peers.sort(key=lambda peer: (peer.failed + peer.slow) / peer.total)
+        positions = {id(peer): position for position, peer in enumerate(peers)}
+        sums = evidence.PeerSums([(peer.total, peer.failed, peer.slow) for peer in peers])
+        for entry in self._servers.values():
+            total, failed, slow = sums.without(positions.get(id(entry))) if peers else (0, 0, 0)
             entry.failure_rate = evidence.estimate_healthy_rate(failed, total, FAILURE_RATE_MIN)
             entry.slow_rate = evidence.estimate_healthy_rate(slow, total, SLOW_RATE_MIN)
 
+    @staticmethod
+    def _is_rated_peer(entry: _Server) -> bool:
+        return entry.state is State.SERVING and entry.total > 0
+
     # Return to service
 
     def _has_idempotent_traffic(self, now: float) -> bool:
