Move the choice of a server out of the shard

Change: server_choice ranks the servers of a shard; pools keeps queue, slots and effects. No behaviour changes.

--- a/dotterelfront/pools.py
+++ b/dotterelfront/pools.py
@@ -16,11 +16,19 @@
 import heapq
 import math
 import random
-from collections.abc import Callable, Collection, Iterable, Mapping
+from collections.abc import Collection, Iterable
 
 import msgspec
 
-from dotterelfront import floor_guard, gray_server, health, load_shedding, models, queueing
+from dotterelfront import (
+    floor_guard,
+    gray_server,
+    health,
+    load_shedding,
+    models,
+    queueing,
+    server_choice,
+)
 
 MAX_QUEUE_LENGTH = 256
 RESERVED_SHARE = 0.25
@@ -37,12 +45,6 @@
 """A request is overdue after this many times the 95th percentile of its route."""
 OVERDUE_CAP = 0.25
 """A route whose overdue requests hold this share of the slots is treated as long."""
-EXPLORE_SHARE = 0.15
-"""Share of the requests for which idle connections do not count. They keep the load of the servers
-even, and give new servers their first requests."""
-SAMPLE_SERVERS = 32
-"""Number of servers of a larger shard that are compared for a request. The best one of so many is
-rarely worse than the best one of all, and the processor time does not grow with the shard."""
 GRANT_RATE_TAU_S = 1.0
 """Time constant of the moving average of slot time granted to each priority class."""
 
@@ -143,8 +145,6 @@
         self._pool = pool
         self._suspicion = suspicion or gray_server.Suspicion()
         self._servers = {server.address: server for server in servers}
-        self._slot_divisor = slot_divisor
-        self._rng = rng or random.Random(pool.name)
         self._queue = queueing.RequestQueue(max_queue_length)
         self._times = queueing.RouteTimes()
         self._in_flight: dict[int, _Running] = {}
@@ -162,13 +162,20 @@
         self._platform_leaving: frozenset[models.ServerId] = frozenset()
         self._signalled_leaving: set[models.ServerId] = set()
         self._slots_exhausted = False
-        self._last_freed: models.ServerId | None = None
-        """The server of the attempt that ended last; in a full shard the only free one."""
         self._next_attempt = 1
         self._effects: list[Effect] = []
         self._refreshed_at = now
         self.counters: collections.Counter[str] = collections.Counter()
         self.health = health.ShardHealth(pool, servers, now)
+        self._choice = server_choice.ServerChoice(
+            self._suspicion,
+            self.shedding,
+            self.health,
+            self._floor_guard,
+            self._busy,
+            rng or random.Random(pool.name),
+            slot_divisor,
+        )
         self._refresh(now)
 
     def submit(self, ticket: queueing.Ticket, now: float, wait: bool = True) -> list[Effect]:
@@ -183,9 +190,9 @@
         self._last_use[ticket.route] = now
         long = self._is_long(ticket.route)
         cost = self._times.mean(ticket.route)
-        if not self._active:
+        if not self._choice.active:
             self._refuse(ticket, RefusalReason.OVERLOADED, now)
-        elif ticket.healthy_only and self._sends_away(now):
+        elif ticket.healthy_only and self._choice.sends_away(now):
             self._refuse(ticket, RefusalReason.NO_FREE_SLOT, now)
         elif now + self._expected_time(ticket, cost, long, now) >= ticket.deadline:
             self._refuse(ticket, RefusalReason.DEADLINE, now)
@@ -259,7 +266,7 @@
 
     def set_slot_divisor(self, slot_divisor: int, now: float) -> list[Effect]:
         """Changes the divisor of the slots after this VM became or ceased to be the first owner."""
-        self._slot_divisor = slot_divisor
+        self._choice.slot_divisor = slot_divisor
         self._refresh(now)
         self._dispatch(now)
         return self.take_effects()
@@ -309,15 +316,13 @@
 
         It is infinite while all servers are suspected.
         """
-        if self._all_suspect(now):
+        if self._choice.all_suspect(now):
             return math.inf
         return (self._queue.total_work() + self._times.mean(route)) / self._good_slots
 
     def is_trial_due(self, now: float) -> bool:
         """Whether all servers are suspected and one of them should be tested by a request."""
-        return self._all_suspect(now) and any(
-            self._is_testable(address, now) for address in self._active
-        )
+        return self._choice.is_trial_due(now)
 
     def has_servers(self) -> bool:
         return bool(self._servers)
@@ -328,7 +333,7 @@
         The count of a server then stays correct when it moves between two shards of one VM.
         """
         busy.update(self._busy)
-        self._busy = busy
+        self._busy = self._choice.busy = busy
 
     def take_effects(self) -> list[Effect]:
         """Returns and clears the effects that no call has returned yet."""
@@ -346,14 +351,14 @@
             in_flight=len(self._in_flight),
             overdue=self._overdue.total(),
             slots=self._capacity,
-            slot_divisor=self._slot_divisor,
+            slot_divisor=self._choice.slot_divisor,
             long_routes=tuple(sorted(r for r in self._last_use if self._is_long(r))),
             servers=tuple(
                 ServerSnapshot(
                     address,
                     self._busy[address],
-                    self._usable_slots(server, now),
-                    address not in self._active,
+                    self._choice.usable_slots(server, now),
+                    address not in self._choice.active,
                     self.health.eligible(address, False, now),
                     self.health.penalty(address, now),
                 )
@@ -366,9 +371,9 @@
         """Refuses tickets that are too late and grants free slots to the next tickets."""
         for ticket in self._queue.remove_expired(now):
             self._refuse(ticket, RefusalReason.DEADLINE, now)
-        if not self._active:
+        if not self._choice.active:
             self._refuse_all(self._queue.remove_all(), RefusalReason.OVERLOADED, now)
-        elif self._queue and self._sends_away(now):
+        elif self._queue and self._choice.sends_away(now):
             tickets = self._queue.remove_healthy_only()
             self._refuse_all(tickets, RefusalReason.NO_FREE_SLOT, now)
         self._mark_overdue(now)
@@ -378,8 +383,8 @@
             entry = self._next_ticket(allow_long, now)
             if entry is None:
                 return
-            server = self._select_server(entry.ticket, now)
-            if server is not None and self._should_hold(entry.ticket, server, now):
+            server = self._choice.select(entry.ticket, now)
+            if server is not None and self._choice.should_hold(entry.ticket, server, now):
                 return
             if server is None:
                 # A server may be eligible for idempotent requests only. Only an idempotent ticket
@@ -423,15 +428,13 @@
             now,
         )
         self.counters["granted"] += 1
-        self._suspicion.record_use(server, now)
-        self._floor_guard.record_grant(server, now)
-        self._starved.discard(server)
+        self._choice.record_grant(server, now)
         self._effects.append(Grant(ticket.ticket_id, server, attempt.attempt_id))
         self.health.on_start(attempt, now)
 
     def _free_slot(self, running: _Running) -> None:
         route, server = running.attempt.route, running.attempt.server
-        self._last_freed = server
+        self._choice.record_freed(server)
         self._busy[server] -= 1
         if not self._busy[server]:
             del self._busy[server]
@@ -477,145 +480,10 @@
             self._refuse(ticket, reason, now)
 
     def _has_free_slot(self, ticket: queueing.Ticket, now: float) -> bool:
-        if self._queue or not self._active:
-            return False
-        server = self._select_server(ticket, now)
-        return server is not None and self._is_good(server, ticket, now)
-
-    def _select_server(self, ticket: queueing.Ticket, now: float) -> models.ServerId | None:
-        """Returns the best server with a free slot, or None.
-
-        In a large shard this is the best one of a random sample. If the sample has no server that
-        should be used, all servers are compared.
-        """
-        if len(self._active) > SAMPLE_SERVERS:
-            server = self._best_server(self._sample(ticket), ticket, now)
-            if server is not None and self._is_good(server, ticket, now):
-                return server
-        return self._best_server(self._active, ticket, now)
-
-    def _sample(self, ticket: queueing.Ticket) -> dict[models.ServerId, models.Server]:
-        """Returns random servers, and those that are likely to rank first or to be free."""
-        names = [*self._rng.sample(self._active_names, SAMPLE_SERVERS), self._last_freed]
-        names += [*ticket.connected, *self._starved]
-        return {name: self._active[name] for name in names if name in self._active}
-
-    def _is_good(self, server: models.ServerId, ticket: queueing.Ticket, now: float) -> bool:
-        """Whether a server is no last resort for a ticket."""
-        return server not in ticket.avoid and (
-            server in self._starved or not self._suspicion.is_suspect(server, now)
-        )
-
-    def _best_server(
-        self,
-        servers: Mapping[models.ServerId, models.Server],
-        ticket: queueing.Ticket,
-        now: float,
-    ) -> models.ServerId | None:
-        """Returns the best one of ``servers`` with a free slot, or None.
-
-        Servers are ranked by ``avoid``, the floor, suspicion, proof, penalty, an idle connection
-        and load; ties are broken at random. An idle connection does not count for the last slot of
-        a server.
-        """
-        idempotent = ticket.idempotent
-        connected = ticket.connected
-        if connected and self._rng.random() < EXPLORE_SHARE:
-            connected = frozenset()
-        is_test = ticket.healthy_only and self._all_suspect(now)
-        best, best_rank, ties = None, None, 0
-        for address, server in servers.items():
-            busy = self._busy[address]
-            if busy >= server.slots or (is_test and not self._is_testable(address, now)):
-                continue
-            if self.shedding.is_paused(address, now) or self._is_withheld(ticket, address, now):
-                continue
-            usable = self._usable_slots(server, now)
-            if busy >= usable or not self.health.eligible(address, idempotent, now):
-                continue
-            suspect = self._suspicion.is_suspect(address, now)
-            rank = (
-                address in ticket.avoid,
-                address not in self._starved,
-                self._suspicion.log_odds(address, now) if suspect else 0.0,
-                address in self._unproven,
-                self.health.penalty(address, now),
-                not (address in connected and busy + 1 < usable),
-                busy / usable,
-            )
-            if best_rank is None or rank < best_rank:
-                best, best_rank, ties = address, rank, 1
-            elif rank == best_rank:
-                ties += 1
-                if self._rng.random() * ties < 1:
-                    best = address
-        return best
-
-    def _is_testable(self, address: models.ServerId, now: float) -> bool:
-        """Whether a suspected server may get a request that could wait in another zone.
-
-        It gets one at a time, with longer pauses the more of them fail.
-        """
-        return not self._busy[address] and not self._suspicion.is_paused(address, now)
-
-    def _is_withheld(self, ticket: queueing.Ticket, address: models.ServerId, now: float) -> bool:
-        """Whether a non-idempotent request must not use a server after consecutive failures."""
-        if ticket.idempotent:
-            return False
-        probing = self._suspicion.is_probing(address) and self._busy[address] > 0
-        return probing or self._suspicion.is_paused(address, now)
-
-    def _should_hold(self, ticket: queueing.Ticket, server: models.ServerId, now: float) -> bool:
-        """Whether a ticket should wait for a server that is not suspected."""
-        if server in self._starved or not self._suspicion.is_suspect(server, now):
+        if self._queue or not self._choice.active:
             return False
-        if self._all_suspect(now):
-            return False
-        first_attempt = not ticket.avoid
-        if first_attempt and ticket.idempotent and self._suspicion.is_trial_due(server, now):
-            return False
-        share = gray_server.HOLD_SHARE if first_attempt else gray_server.RETRY_HOLD_SHARE
-        return now < ticket.enqueued + share * (ticket.deadline - ticket.enqueued)
-
-    def _is_sound(self, now: float) -> Callable[[models.ServerId], bool]:
-        return lambda server: self._suspicion.since_failure_s(server, now) > gray_server.SOUND_S
-
-    def _sends_away(self, now: float) -> bool:
-        """Whether tickets that can wait in another zone should leave this shard."""
-        return self._all_suspect(now) and not self.is_trial_due(now)
-
-    def _all_suspect(self, now: float) -> bool:
-        return all(self._suspicion.is_suspect(address, now) for address in self._active)
-
-    def _usable_slots(self, server: models.Server, now: float) -> int:
-        address = server.address
-        share = self.health.slot_share(address, now) * self.shedding.share(address, now)
-        return max(1, int(server.slots * share / self._slot_divisor + 1e-9))
-
-    def _measure_capacity(self, now: float) -> int:
-        """Returns the usable slots of the servers that accept every request, at least one."""
-        return max(
-            1,
-            sum(
-                self._usable_slots(server, now)
-                for address, server in self._active.items()
-                if self.health.eligible(address, False, now)
-            ),
-        )
-
-    def _measure_good_slots(self, now: float) -> int:
-        """Returns the capacity without suspected servers, at least one slot.
-
-        While all servers are suspected it is the whole capacity.
-        """
-        if self._all_suspect(now):
-            return self._capacity
-        suspected = sum(
-            self._usable_slots(server, now)
-            for address, server in self._active.items()
-            if self._suspicion.is_suspect(address, now)
-        )
-        return max(1, self._capacity - suspected)
+        server = self._choice.select(ticket, now)
+        return server is not None and self._choice.is_good(server, ticket, now)
 
     def _record_shedding(
         self, address: models.ServerId, result: health.AttemptResult, now: float
@@ -629,16 +497,14 @@
     def _refresh(self, now: float) -> None:
         """Recomputes the active servers, their capacity and the limits for long routes."""
         leaving = self._platform_leaving | self._signalled_leaving
-        self._active = {
+        active = {
             address: server
             for address, server in self._servers.items()
             if server.state is models.ServerState.ACTIVE and address not in leaving
         }
-        self._active_names = list(self._active)
-        self._capacity = self._measure_capacity(now)
-        self._good_slots = self._measure_good_slots(now)
-        self._unproven = self._suspicion.unproven(self._active, now)
-        self._starved = self._floor_guard.starved(self._active, self._is_sound(now), now)
+        self._choice.refresh(active, now)
+        self._capacity = self._choice.capacity(now)
+        self._good_slots = self._choice.good_slots(self._capacity, now)
         self._long = self._times.long_routes(LONG_FACTOR, now, RECENT_S)
         gain = 1 - math.exp(-(now - self._refreshed_at) / GRANT_RATE_TAU_S)
         self._mean_short_in_flight += gain * (
--- a/tests/test_connection_reuse.py
+++ b/tests/test_connection_reuse.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from dotterelfront import fleetmodel, health, models, pools, slot_owner, upstream
+from dotterelfront import fleetmodel, health, models, server_choice, slot_owner, upstream
 from tests import test_slot_owner
 
 VMS, SERVERS, RATE_PER_S, WORK_S, SECONDS = 48, 9, 25.0, 0.27, 120.0
@@ -91,7 +91,7 @@
 @pytest.mark.parametrize("in_flight", [0, 1, 2])
 def test_the_last_slot_of_a_server_is_not_preferred(in_flight, monkeypatch):
     """Guards against servers that are filled up, and slow down, while others are idle."""
-    monkeypatch.setattr(pools, "EXPLORE_SHARE", 0.0)
+    monkeypatch.setattr(server_choice, "EXPLORE_SHARE", 0.0)
     owner = test_slot_owner.Owner()
     owner.core.set_servers(
         test_slot_owner.POOL, {test_slot_owner.ZONE: instances(["i-1", "i-2"])}, 0.0
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -51,7 +51,7 @@
         )
 
     def submit(self, key, make_shard, route, customer, deadline):
-        self.slot_divisors.append(make_shard(0.0)._slot_divisor)
+        self.slot_divisors.append(make_shard(0.0).snapshot(0.0).slot_divisor)
         assert not route.idempotent, "the request is non-idempotent by the sender's tables"
         fut = concurrent.futures.Future()
         fut.set_result(pools.Refusal(1, pools.RefusalReason.DEADLINE))
--- a/tests/test_large_shards.py
+++ b/tests/test_large_shards.py
@@ -5,10 +5,10 @@
 
 import pytest
 
-from dotterelfront import health, models, pools, queueing
+from dotterelfront import health, models, pools, queueing, server_choice
 
 SERVERS, SLOTS = 400, 6
-MAX_CHECKED = 2 * (pools.SAMPLE_SERVERS + 6)
+MAX_CHECKED = 2 * (server_choice.SAMPLE_SERVERS + 6)
 """Servers that may be checked for a request that finds a free slot, twice: for a free slot, and for
 the grant."""
 
@@ -102,13 +102,13 @@
         zone.shard._floor_guard.record_grant(name, 1.0 if name == "i-9" else 3.5)
     for _ in range(20):
         zone.shard._floor_guard.record_outcome(served=False, now=3.6)
-    zone.shard._starved = {zone.names[9]}
+    zone.shard._choice.starved = {zone.names[9]}
     assert zone.submit(3.7)[0].server == "i-9"
 
 
 def test_a_connected_server_is_preferred(monkeypatch):
     """Guards against new connections to servers to which the VM has one."""
-    monkeypatch.setattr(pools, "EXPLORE_SHARE", 0.0)
+    monkeypatch.setattr(server_choice, "EXPLORE_SHARE", 0.0)
     zone = Zone(monkeypatch)
     server = zone.submit(1.0, connected=frozenset({zone.names[17]}))[0].server
     assert server == zone.names[17]
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -54,7 +54,7 @@
     servers = make_servers(slots)
     pool = models.Pool(models.PoolName("p"), servers, floor=1)
     shard = pools.PoolShard(pool, servers, 0.0, rng=random.Random(1), **options)
-    shard.health = FakeHealth()
+    shard.health = shard._choice._health = FakeHealth()
     return shard
 
 
