Ignore SIGHUP until a starting VM can handle it

SIGHUP had come while the modules were loaded; its default action ends the process. Change: the deploy file starts dotterelfront.start, which ignores the signal first. The version of the settings file is read before the file, so that the regular check finds a change that came meanwhile. Ruled out: edits of the code during the run, which would end a process with exit code 1.

--- a/dotterelfront/node.py
+++ b/dotterelfront/node.py
@@ -2,7 +2,7 @@
 
 ::
 
-    python -m dotterelfront.node      # the environment names the settings file
+    python -m dotterelfront.start     # the environment names the settings file
 """
 
 import asyncio
@@ -90,13 +90,17 @@
 """Shares of the configured retry bounds that the shard owners of all zones grant together. The rest
 covers a change of owner: the new owner does not know which retries the old one granted."""
 
+FileVersion = tuple[int, int]
+"""Modification time in nanoseconds and size of a file."""
+
 
 class Node:
     """One VM: its sockets, its tasks and their shared state, all on one event loop."""
 
-    def __init__(self, cfg: boot.Settings, settings_path: str):
+    def __init__(self, cfg: boot.Settings, settings_path: str, settings_version: FileVersion):
         self._cfg = cfg
         self._settings_path = settings_path
+        self._settings_version = settings_version
         self._loop = asyncio.get_running_loop()
         self._rng = random.Random(cfg.vm_id)
         incarnation = models.Incarnation(int(time.time() * 1000))
@@ -258,12 +262,11 @@
 
     async def _check_settings(self) -> None:
         """Reloads the settings when the file changes without a SIGHUP."""
-        loaded = _file_version(self._settings_path)
         while True:
             await asyncio.sleep(SETTINGS_CHECK_INTERVAL_S)
             current = _file_version(self._settings_path)
-            if current != loaded:
-                loaded = current
+            if current != self._settings_version:
+                self._settings_version = current
                 self._reload()
 
     async def _announce_watch(self) -> None:
@@ -604,7 +607,7 @@
 }
 
 
-def _file_version(path: str) -> tuple[int, int]:
+def _file_version(path: str) -> FileVersion:
     """Returns the modification time in nanoseconds and the size of a file, zeros if it is missing.
 
     A deleted file counts as a change; the reload then logs why the file cannot be read.
@@ -616,16 +619,17 @@
     return status.st_mtime_ns, status.st_size
 
 
-async def _run(cfg: boot.Settings, path: str) -> None:
-    await Node(cfg, path).run()
+async def _run(cfg: boot.Settings, path: str, version: FileVersion) -> None:
+    await Node(cfg, path, version).run()
 
 
 def run(path: str) -> None:
     """Runs a VM with the settings file at ``path``; raises ``errors.ConfigurationError``."""
+    version = _file_version(path)
     cfg = boot.load(path)
     logs.configure(cfg.log_format, cfg.vm_id)
     with asyncio.Runner(loop_factory=clock.EventLoop) as runner:
-        runner.run(_run(cfg, path))
+        runner.run(_run(cfg, path, version))
 
 
 def main() -> None:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -8,7 +8,7 @@
 import sys
 
 HTTP_PORT, READY_PORT, PEER_PORT, STORE_PORT = 8641, 8640, 7620, 2391
-COMMAND = (sys.executable, "-m", "dotterelfront.node")
+COMMAND = (sys.executable, "-m", "dotterelfront.start")
 _ENDING_SIGNALS = frozenset([signal.SIGTERM, signal.SIGKILL])
 STORE_HOST_OFFSET = 200
 """Number added to the last octet of a VM's address to get the address of its store host."""
