Use an address of its own for each run of the start test

Cause: two runs of the tests beside each other would use the same ports. Change: the address depends on the process id, as in the soak.

--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -18,7 +18,9 @@
 ROOT = pathlib.Path(__file__).parent.parent
 
 
-def settings(tmp_path, host="127.0.9.1"):
+def settings(tmp_path):
+    """Writes a settings file; runs of the tests beside each other use different addresses."""
+    host = f"127.9.{os.getpid() // 250 % 250}.{1 + os.getpid() % 250}"
     path = tmp_path / "settings.json"
     fields = {
         "vm_id": "vm-1",
