--- a/dotterelfront/gray_server.py
+++ b/dotterelfront/gray_server.py
@@ -170,11 +170,6 @@
         others = len(servers) - sum(self.is_suspect(server, now) for server in servers)
         return {server for _, server in failed[: int(UNPROVEN_SHARE * others + 1e-9)]}
 
-    def is_proven(self, server: models.ServerId) -> bool:
-        """Whether the server has answered a request that it got after its last failure."""
-        state = self._states.get(server)
-        return state is None or state.is_proven
-
     def since_failure_s(self, server: models.ServerId, now: float) -> float:
         """Returns the time since the last failure of a server, infinity if it has not failed."""
         state = self._states.get(server)
--- a/dotterelfront/server_choice.py
+++ b/dotterelfront/server_choice.py
@@ -166,11 +166,10 @@
         """Whether a ticket should wait for a server that is not suspected."""
         if server in self.starved or not self._suspicion.is_suspect(server, now):
             return False
-        first_attempt = not ticket.avoid
         if self.all_suspect(now):
-            if self._suspicion.is_proven(server) or self._is_testable(server, now):
-                return False
-        elif first_attempt and ticket.idempotent and self._suspicion.is_trial_due(server, now):
+            return False
+        first_attempt = not ticket.avoid
+        if first_attempt and ticket.idempotent and self._suspicion.is_trial_due(server, now):
             return False
         share = gray_server.HOLD_SHARE if first_attempt else gray_server.RETRY_HOLD_SHARE
         return now < ticket.enqueued + share * (ticket.deadline - ticket.enqueued)
