Let a queue move on when the last server of its zone leaves

Cause: a shard without active servers refused all waiting requests as overloaded, also those that can wait in another zone, so their callers got 503. Change: such requests are told that the zone has no slot, as when all servers are suspected, and wait elsewhere. The log names the reason of a refusal. Measured: the new test fails with the old code; 129 tests of the client, the shards and the relay pass.

--- a/dotterelfront/pools.py
+++ b/dotterelfront/pools.py
@@ -190,10 +190,10 @@
         self._last_use[ticket.route] = now
         long = self._is_long(ticket.route)
         cost = self._times.mean(ticket.route)
-        if not self._choice.active:
-            self._refuse(ticket, RefusalReason.OVERLOADED, now)
-        elif ticket.healthy_only and self._choice.sends_away(now):
+        if ticket.healthy_only and self._choice.sends_away(now):
             self._refuse(ticket, RefusalReason.NO_FREE_SLOT, now)
+        elif not self._choice.active:
+            self._refuse(ticket, RefusalReason.OVERLOADED, now)
         elif now + self._expected_time(ticket, cost, long, now) >= ticket.deadline:
             self._refuse(ticket, RefusalReason.DEADLINE, now)
         else:
@@ -371,11 +371,11 @@
         """Refuses tickets that are too late and grants free slots to the next tickets."""
         for ticket in self._queue.remove_expired(now):
             self._refuse(ticket, RefusalReason.DEADLINE, now)
-        if not self._choice.active:
-            self._refuse_all(self._queue.remove_all(), RefusalReason.OVERLOADED, now)
-        elif self._queue and self._choice.sends_away(now):
+        if self._queue and self._choice.sends_away(now):
             tickets = self._queue.remove_healthy_only()
             self._refuse_all(tickets, RefusalReason.NO_FREE_SLOT, now)
+        if not self._choice.active:
+            self._refuse_all(self._queue.remove_all(), RefusalReason.OVERLOADED, now)
         self._mark_overdue(now)
         self._slots_exhausted = False
         while self._queue:
--- a/dotterelfront/slot_client.py
+++ b/dotterelfront/slot_client.py
@@ -144,7 +144,7 @@
             poll_s = spill_s if is_short else POLL_S
             lease = await self._wait(requirements, zones, refusals, poll_s)
         if lease is None:
-            raise errors.OverloadedError("no slot is available", _retry_after_s(refusals))
+            raise _overloaded(_last_refusal(refusals))
         return lease
 
     async def _first_free(
@@ -317,9 +317,11 @@
     return next(reversed(refusals.values()), None)
 
 
-def _retry_after_s(refusals: Refusals) -> float:
-    refusal = _last_refusal(refusals)
-    return refusal.retry_after_s if refusal is not None else NO_SERVER_RETRY_S
+def _overloaded(refusal: fleet_messages.SlotRefusal | None) -> errors.OverloadedError:
+    if refusal is None:
+        return errors.OverloadedError("no slot owner answers", NO_SERVER_RETRY_S)
+    message = f"no slot is available: {refusal.reason.value}"
+    return errors.OverloadedError(message, refusal.retry_after_s)
 
 
 def _is_final(requirements: SlotRequirements, refusals: Refusals) -> bool:
--- a/tests/test_gray_zone.py
+++ b/tests/test_gray_zone.py
@@ -16,6 +16,7 @@
     fleetmodel,
     health,
     models,
+    pools,
     slot_client,
     slot_owner,
 )
@@ -197,3 +198,23 @@
     script = {"a1": [full, "waiting", "all suspected"], "b1": [full, full, "waiting", "i-2"]}
     fleet = test_slot_client.Fleet(monkeypatch, script)
     assert fleet.acquire().server == "i-2"
+
+
+@pytest.mark.parametrize(
+    ("healthy_only", "reason"),
+    [(True, slot_client.NO_FREE_SLOT), (False, pools.RefusalReason.OVERLOADED)],
+)
+def test_a_queue_moves_on_when_the_last_server_of_its_zone_leaves(healthy_only, reason):
+    """Guards against refusals at a planned stop of servers while other zones have servers.
+
+    Requests that may wait in another zone are told so, queued and new ones.
+    """
+    owner = test_slot_owner.Owner(names=("i-1",))
+    waiting = range(test_slot_owner.SLOTS, test_slot_owner.SLOTS + 3)
+    for call_id in range(waiting.stop):
+        owner.ask(call_id, healthy_only=healthy_only)
+    leaving = test_slot_owner.servers("i-1", state=models.ServerState.LEAVING)
+    owner.core.set_servers(test_slot_owner.POOL, {test_slot_owner.ZONE: leaving}, 101.0)
+    owner.ask(waiting.stop, healthy_only=healthy_only, now=101.0)
+    refusals = [owner.last(call_id) for call_id in [*waiting, waiting.stop]]
+    assert {refusal.reason for refusal in refusals} == {reason}
--- a/tests/test_slot_client.py
+++ b/tests/test_slot_client.py
@@ -157,6 +157,7 @@
     with pytest.raises(errors.OverloadedError) as caught:
         fleet.acquire()
     assert caught.value.retry_after_s == 0.4
+    assert str(caught.value) == "no slot is available: deadline"
 
 
 def test_a_pool_without_servers_refuses_at_once(monkeypatch):
