--- a/review/harness/fleet.py
+++ b/review/harness/fleet.py
@@ -17,6 +17,8 @@
 RESTART_DELAY_S = 0.3
 """Usual time after which the platform starts an ended process again."""
 POLL_S = 1.0
+TIME_LIMIT_S = 108.0
+"""Time after which a script gives up; it has 120 s."""
 LIMITS = {
     "seed-lag": "3s",
     "addr-reuse": "2s",
@@ -187,10 +189,20 @@
 
 
 def main(run) -> None:
-    """Runs a script's coroutine and exits with its result, or with 2 if it could not run."""
+    """Runs a script's coroutine and exits with its result, or with 2 if it could not run.
+
+    The coroutine ends its processes also when it takes too long or this process gets SIGTERM.
+    """
     try:
-        code = asyncio.run(run())
-    except Exception as exc:
+        code = asyncio.run(_run_in_time(run))
+    except (Exception, asyncio.CancelledError) as exc:
         print(f"could not run: {exc!r}", file=sys.stderr)
         code = 2
     sys.exit(code)
+
+
+async def _run_in_time(run) -> int:
+    task = asyncio.current_task()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    async with asyncio.timeout(TIME_LIMIT_S):
+        return await run()
