--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,6 +1,6 @@
 """The store stops answering the two VMs that watch it; then the operator moves a route.
 
-It answers the other four VMs of the zone and the operator all the while. This happens seven times;
+It answers the other five VMs of the zone and the operator all the while. This happens seven times;
 each time a server's entry changes shortly before, as entries do.
 """
 
@@ -20,7 +20,7 @@
 FOLDER = pathlib.Path(__file__).parent
 HOST, PREFIX = "hulo84.example", "/leny950/"
 OLD, NEW = "bin-count", "ledger-archive"
-VMS, TURNED_AWAY = 6, 2
+VMS, TURNED_AWAY = 7, 2
 DEADLINE_S, WORK_S, RATE_PER_S = 1.5, 0.05, 60.0
 APPLY_S = 2.0
 TRIALS, CALM_S, AWAY_S = 7, 4.0, 6.0
