Answer requests that wait for a slot before a stopped VM exits

Cause: the shutdown refused requests that arrived after 3 s, but requests in the queue of a shard kept waiting until their own deadline, which was later than the exit.

Change: shutdown.times gives each phase a time. Waits for a slot end halfway between the last accepted request and the exit, with 'not run'; retries and hedges after it get no slot. Requests are accepted for 2.8 s in place of 3.0 s.

Evidence: test_a_stopped_vm_answers_requests_that_wait_for_a_slot failed before the change (status 0 in place of 503) and passes now. Why it works: every request that is read is either at a server or answered before the connections close.

--- a/dotterelfront/gateway.py
+++ b/dotterelfront/gateway.py
@@ -21,7 +21,7 @@
 
 import msgspec
 
-from dotterelfront import errors, headers, http1, logs, relay
+from dotterelfront import errors, headers, http1, logs, relay, slot_client
 from dotterelfront.platform import wire
 
 MAX_PIPELINED = 32
@@ -38,8 +38,6 @@
 FULL_RETRY_S = 0.5
 """``Retry-After`` for a request that does not fit into the buffer; the memory is soon free again,
 because requests and answers have deadlines."""
-SHUTDOWN_RETRY_S = 0.1
-"""``Retry-After`` for a request at a VM that is shutting down; any other VM can serve it."""
 READ_TURN_S = 0.02
 """Time in which the event loop reads what has arrived on all connections."""
 IDLE_AT_SHUTDOWN_S = 0.1
@@ -143,7 +141,7 @@
 
 
 async def _refuse_shutting_down(call: relay.Call) -> relay.Answer:
-    raise errors.OverloadedError("the VM is shutting down", SHUTDOWN_RETRY_S)
+    raise errors.OverloadedError("the VM is shutting down", slot_client.SHUTDOWN_RETRY_S)
 
 
 class Connection(asyncio.BufferedProtocol):
--- a/dotterelfront/node.py
+++ b/dotterelfront/node.py
@@ -34,6 +34,7 @@
     read_budget,
     relay,
     rollout,
+    shutdown,
     slot_client,
     slot_owner,
     supervisor,
@@ -65,12 +66,6 @@
 WATCHER_RENEWAL_TIMEOUT_S = 0.8
 """Lets another VM take over within two seconds from a watcher that gets no response from the store.
 A renewal takes 4 ms, and 0.4 s on a store that is a hundred times slower."""
-ACCEPT_AFTER_TERM_S = 3.0
-"""The load balancer removes a VM after two failed health checks, one per second."""
-EXIT_MARGIN_S = 0.4
-"""Time between the last response and the platform's SIGKILL."""
-LAST_ANSWERS_S = 0.15
-"""Time to answer the connections that are accepted while the listening socket closes."""
 RECORD_TASK = "renew-record"
 SETTINGS_CHECK_INTERVAL_S = 5.0
 """Interval of checks for a changed settings file. The file changes rarely, and a check costs one
@@ -204,16 +199,17 @@
 
         The load balancer may send new connections until the end, if few VMs of the zone are ready.
         """
-        deadline = self._loop.time() + self._cfg.bounds.grace_s - EXIT_MARGIN_S
+        times = shutdown.times(self._loop.time(), self._cfg.bounds.grace_s)
         logs.event("shutting down")
         self._view.members.leaving = True
         self._gateway.drain()
         self._supervisor.start("delete-record", self._delete_record)
-        await asyncio.sleep(ACCEPT_AFTER_TERM_S)
+        self._slots.end_waits(times.send_until)
+        await asyncio.sleep(times.accept_until - self._loop.time())
         self._gateway.refuse_new()
-        await self._gateway.finish(deadline - LAST_ANSWERS_S)
+        await self._gateway.finish(times.close_listener_at)
         await http_listener.close()
-        await self._gateway.finish(deadline)
+        await self._gateway.finish(times.stop_at)
         self._gateway.close()
         self._upstream.close()
         self._mesh.close()
--- a/dotterelfront/slot_client.py
+++ b/dotterelfront/slot_client.py
@@ -41,6 +41,8 @@
 """Owners of a zone that are asked before this VM grants the slot itself."""
 NO_SERVER_RETRY_S = 0.5
 """Retry delay for a refused caller when no estimate is available."""
+SHUTDOWN_RETRY_S = 0.1
+"""Retry delay for a request whose VM shuts down; any other VM can serve it."""
 NO_FREE_SLOT = pools.RefusalReason.NO_FREE_SLOT
 
 Refusals = dict[models.ZoneName, fleet_messages.SlotRefusal]
@@ -113,6 +115,8 @@
         # Owners may still hold calls of the VM's previous process, so ids must not be reused.
         self._call_ids = itertools.count(incarnation * CALL_IDS_PER_MILLISECOND)
         self._replies: dict[int, asyncio.Queue[fleet_messages.Message]] = {}
+        self._waits: set[asyncio.Timeout] = set()
+        self._waits_end_at = math.inf
 
     def on_reply(self, message: fleet_messages.Message) -> None:
         """Handles an owner's reply; a grant that no request awaits expires at the owner."""
@@ -120,15 +124,28 @@
         if queue is not None:
             queue.put_nowait(message)
 
+    def end_waits(self, at: float) -> None:
+        """Ends all waits for a slot at a time, present and future ones; used in a shutdown."""
+        self._waits_end_at = at
+        for wait in self._waits:
+            wait.reschedule(min(at, wait.when()))
+
     async def acquire(self, requirements: SlotRequirements) -> SlotLease:
         """Returns a slot; raises ``errors.OverloadedError`` with a retry delay."""
         try:
-            async with asyncio.timeout_at(requirements.deadline):
-                return await self._acquire(requirements)
+            async with asyncio.timeout_at(min(requirements.deadline, self._waits_end_at)) as wait:
+                self._waits.add(wait)
+                try:
+                    return await self._acquire(requirements)
+                finally:
+                    self._waits.discard(wait)
         except TimeoutError as exc:
-            raise errors.OverloadedError(
-                "no slot became free before the deadline", NO_SERVER_RETRY_S
-            ) from exc
+            raise self._wait_ended(requirements) from exc
+
+    def _wait_ended(self, requirements: SlotRequirements) -> errors.OverloadedError:
+        if self._waits_end_at < requirements.deadline:
+            return errors.OverloadedError("the VM is shutting down", SHUTDOWN_RETRY_S)
+        return errors.OverloadedError("no slot became free before the deadline", NO_SERVER_RETRY_S)
 
     async def _acquire(self, requirements: SlotRequirements) -> SlotLease:
         zones = self._ordered_zones(requirements.pool)
