Reject odd server records without losing the others

Several such records ended the processes of the watchers.

Cause: msgspec raises RecursionError for deep nesting, which the decoder did not catch. It left Catalog.update within a batch that the replica had already merged.

Change: all decoders catch codec.DECODE_ERRORS. Server records are also rejected for an id that no header can carry, an address that is not IPv4 with a valid port, a slot count out of range and a duration that is not finite; each of them raised later, in a shard or at a send.

Why it works: a record either decodes or raises RecordError, which drops only that record.

--- a/dotterelfront/fleet_messages.py
+++ b/dotterelfront/fleet_messages.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from dotterelfront import errors, fleetmodel, health, models, pools
+from dotterelfront import codec, errors, fleetmodel, health, models, pools
 
 MAX_REMAINING_S = 600.0
 """Longest time until the deadline of a request that an owner accepts."""
@@ -172,7 +172,7 @@
     """Decodes and returns a message; raises ``errors.MessageError``."""
     try:
         return _decoder.decode(_decompress(raw))
-    except (msgspec.MsgspecError, zlib.error) as exc:
+    except (*codec.DECODE_ERRORS, zlib.error) as exc:
         raise errors.MessageError(str(exc)) from exc
 
 
--- a/dotterelfront/fleet_view.py
+++ b/dotterelfront/fleet_view.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from dotterelfront import catalog, errors, fleetmodel, logs, membership, models, placement
+from dotterelfront import catalog, codec, errors, fleetmodel, logs, membership, models, placement
 from dotterelfront.platform import records
 
 VMS_PREFIX = "dotterelfront/vms/"
@@ -145,6 +145,6 @@
     """Returns the VM of a record, or None if the record is malformed."""
     try:
         return msgspec.json.decode(record.value, type=VmRecord)
-    except msgspec.MsgspecError as exc:
+    except codec.DECODE_ERRORS as exc:
         logs.event("malformed VM record", level="WARNING", key=record.key, error=str(exc))
         return None
--- a/dotterelfront/platform/formats.py
+++ b/dotterelfront/platform/formats.py
@@ -10,7 +10,7 @@
 
 from dotterelfront import errors, models
 
-_DURATION = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)")
+_DURATION = re.compile(r"([0-9]{1,15}(?:\.[0-9]+)?)(ms|s)")
 _VERSION = re.compile(r"r([0-9]{1,15})")
 _UNIT_S = {"ms": 0.001, "s": 1.0}
 
--- a/dotterelfront/platform/records.py
+++ b/dotterelfront/platform/records.py
@@ -8,11 +8,13 @@
 A record that another writer corrupted raises ``errors.RecordError``; no part of it is used.
 """
 
-from typing import Any
+import ipaddress
+import re
+from typing import Annotated, Any
 
 import msgspec
 
-from dotterelfront import errors, fleetmodel, models
+from dotterelfront import codec, errors, fleetmodel, models
 from dotterelfront.platform import formats
 
 CONFIG_PREFIX = "op/"
@@ -22,12 +24,17 @@
 _STATE_BY_NAME = {"ready": models.ServerState.ACTIVE, "draining": models.ServerState.LEAVING}
 _IDEMPOTENT_BY_KIND = {"safe": True, "download": True, "unsafe": False}
 """Whether requests of a kind are idempotent."""
+MAX_SLOTS = 100_000
+"""Larger slot counts are errors of the writer."""
+_SERVER_ID = re.compile(r"[!-~]+")
+"""The id is sent in a header, so it has only visible ASCII characters."""
+_PORT = re.compile(r"[0-9]{1,5}")
 
 
 class _ServerInfo(msgspec.Struct):
     service: str
     zone: str
-    slots: int
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
     version: str | None = None
 
 
@@ -82,12 +89,12 @@
 def server(key: str, raw: bytes) -> fleetmodel.Instance:
     """Decodes the record of a server; raises ``errors.RecordError``."""
     record = _decode(raw, _ServerRecord)
+    server_id = key.removeprefix(SERVERS_PREFIX)
     state = _STATE_BY_NAME.get(record.status.state)
-    host, colon, port = record.addr.rpartition(":")
-    if state is None or record.info.slots < 1 or not (host and colon and port.isdecimal()):
-        raise errors.RecordError(f"{key}: invalid state, slot count or address of a server")
+    if state is None or not _SERVER_ID.fullmatch(server_id) or not _is_address(record.addr):
+        raise errors.RecordError(f"{key}: invalid id, state or address of a server")
     return fleetmodel.Instance(
-        id=models.ServerId(key.removeprefix(SERVERS_PREFIX)),
+        id=models.ServerId(server_id),
         address=record.addr,
         pool=models.PoolName(record.info.service),
         zone=models.ZoneName(record.info.zone),
@@ -133,8 +140,18 @@
     )
 
 
+def _is_address(text: str) -> bool:
+    """Whether a text is an IPv4 address with a port, such as ``10.0.0.7:8080``."""
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return bool(_PORT.fullmatch(port)) and 0 < int(port) <= 65_535
+
+
 def _decode(raw: bytes, record_type: type) -> Any:
     try:
         return msgspec.json.decode(raw, type=record_type)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+    except codec.DECODE_ERRORS as exc:
         raise errors.RecordError(str(exc)) from exc
--- a/dotterelfront/platform/store.py
+++ b/dotterelfront/platform/store.py
@@ -20,7 +20,7 @@
 
 import msgspec
 
-from dotterelfront import errors, exchange, fleetmodel
+from dotterelfront import codec, errors, exchange, fleetmodel
 from dotterelfront.platform import formats
 
 CALL_TIMEOUT_S = 2.0
@@ -198,5 +198,5 @@
 def _decode_body(res: exchange.Response, body_type: type) -> Any:
     try:
         return msgspec.json.decode(res.body, type=body_type)
-    except msgspec.MsgspecError as exc:
+    except codec.DECODE_ERRORS as exc:
         raise errors.StoreUnavailableError(f"malformed response body: {exc}") from exc
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -2,9 +2,11 @@
 
 import json
 
+import hypothesis
 import pytest
+from hypothesis import strategies as st
 
-from dotterelfront import errors, exchange, models
+from dotterelfront import catalog, errors, exchange, fleetmodel, models
 from dotterelfront.platform import boot, formats, records, wire
 
 SERVER = {
@@ -67,13 +69,18 @@
         (["addr"], None),
         (["addr"], 7),
         (["addr"], "nowhere"),
+        (["addr"], "10.128.0.9:65536"),
+        (["addr"], "10.128.0.9:0"),
+        (["addr"], "server-9:8080"),
         (["info"], "orders"),
         (["info", "slots"], "6"),
         (["info", "slots"], 0),
+        pytest.param(["info", "slots"], 10**400, id="slots-1e400"),
         (["info", "service"], None),
         (["status", "state"], "resting"),
         (["status", "seq"], 1.5),
         (["status", "warmup-left"], "soon"),
+        pytest.param(["status", "warmup-left"], "9" * 400 + "s", id="warmup-1e400"),
         (["born"], "yesterday"),
     ],
 )
@@ -83,6 +90,53 @@
         records.server("servers/i-1", modified(SERVER, path, value))
 
 
+@pytest.mark.parametrize("server_id", ["", "i 1", "i-1\r\nX: y", "i-\u00e9"])
+def test_server_id_that_no_header_can_carry_is_rejected(server_id):
+    """Guards against a server whose requests all fail because its id cannot be sent."""
+    with pytest.raises(errors.RecordError):
+        records.server(f"servers/{server_id}", json.dumps(SERVER).encode())
+
+
+JSON_VALUES = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats()
+    | st.text()
+    | st.sampled_from([10**400, -(10**30), "9" * 5_000, "1e999", "127.0.0.1:99999"]),
+    lambda children: st.lists(children) | st.dictionaries(st.text(), children),
+    max_leaves=5,
+)
+SERVER_PATHS = [["addr"], ["info"], ["status"], ["born"]]
+SERVER_PATHS += [["info", name] for name in SERVER["info"]]
+SERVER_PATHS += [["status", name] for name in SERVER["status"]]
+
+
+@hypothesis.given(path=st.sampled_from(SERVER_PATHS), value=JSON_VALUES)
+def test_odd_values_in_a_server_record_never_raise_another_error(path, value):
+    """Guards against one odd record that ends the processes of all VMs that read it."""
+    try:
+        instance = records.server("servers/i-1", modified(SERVER, path, value))
+    except errors.RecordError:
+        return
+    assert 1 <= instance.slots <= records.MAX_SLOTS
+    assert 0.0 <= instance.warmup_left_s < float("inf")
+
+
+def test_one_deeply_nested_record_leaves_the_others_in_force():
+    """Guards against a VM without servers because one record cannot be decoded."""
+    nested = b'{"note": ' + b"[" * 40_000 + b"]" * 40_000 + b"}"
+    changed = [
+        fleetmodel.Record("servers/i-1", 1, json.dumps(SERVER).encode()),
+        fleetmodel.Record("servers/i-2", 1, nested),
+        fleetmodel.Record("servers/i-3", 1, json.dumps(SERVER).encode()),
+    ]
+    servers = catalog.Catalog(records.server)
+    report = servers.update(changed, trusted=True, now=0.0)
+    assert [instance.id for instance in servers.instances("orders")] == ["i-1", "i-3"]
+    assert report.unreadable == ("servers/i-2",)
+
+
 @pytest.mark.parametrize("raw", [b"", b"\xff\xfe", b"[]", b"null", b'{"addr": "a"'])
 def test_bytes_that_are_not_a_record_are_rejected(raw):
     """Guards against a decoder exception that ends the task that follows the store."""
