Watch the store while changes are pushed to the zone

Cause: after each push the follower slept for the time that the push takes on a small link, before it watched the store again. Both watchers of a zone sleep at once, and as they send heartbeats no other VM watches in their place.

Change: ZonePush paces the pushes in a task of its own and merges what is requested meanwhile. Pings to the zone announce only what has been pushed, so that no VM pulls what waits to be pushed.

--- a/dotterelfront/follow.py
+++ b/dotterelfront/follow.py
@@ -117,13 +117,13 @@
 class Callbacks(msgspec.Struct, frozen=True):
     """Callbacks of a follower.
 
-    ``on_changed`` gets the keys that changed. ``on_watched`` gets a revision and the changes since
-    then that came from the store; it pushes them to other VMs and returns the time in seconds that
-    this takes. ``on_watch_started`` is called when the VM starts to watch.
+    ``on_changed`` gets the keys that changed. ``on_watched`` gets a revision after which changes
+    came from the store, to push them to other VMs; it must not wait. ``on_watch_started`` is called
+    when the VM starts to watch.
     """
 
     on_changed: Callable[[set[str]], None]
-    on_watched: Callable[[int, fleetmodel.Changes], float]
+    on_watched: Callable[[int], None]
     on_watch_started: Callable[[], None]
 
 
@@ -246,7 +246,7 @@
         self.is_complete = True
         self._notify_changed(self.local_copy.replace(listing, _now()))
         if self._watching:
-            self._push_since(after)
+            self._callbacks.on_watched(after)
 
     def _should_watch(self) -> bool:
         return self._role.should_watch(_now()) and self._state.reachable
@@ -265,15 +265,8 @@
         self._state.succeeded(_now())
         self._notify_changed(self.local_copy.merge(changes, _now()))
         if changes.records:
-            await asyncio.sleep(max(BATCH_S, self._push_since(after)))
-
-    def _push_since(self, after: int) -> float:
-        """Pushes the changes after a revision, with only the newest record of each key.
-
-        Returns the time in seconds that the push takes.
-        """
-        changes = self.local_copy.since(after)
-        return 0.0 if changes is None else self._callbacks.on_watched(after, changes)
+            self._callbacks.on_watched(after)
+            await asyncio.sleep(BATCH_S)
 
     def _notify_changed(self, keys: set[str]) -> None:
         if keys:
--- a/dotterelfront/node.py
+++ b/dotterelfront/node.py
@@ -40,6 +40,7 @@
     supervisor,
     upstream,
     watch_role,
+    zone_push,
 )
 from dotterelfront.platform import boot, records, store, wire
 
@@ -70,9 +71,6 @@
 SETTINGS_CHECK_INTERVAL_S = 5.0
 """Interval of checks for a changed settings file. The file changes rarely, and a check costs one
 system call."""
-PUSH_BITS_PER_S = 8e6
-"""Rate limit of a watcher's pushes; the smallest links carry 10 Mbit/s. Changes that arrive during
-a push are batched, so that a burst of changes does not fill the link with outdated records."""
 METRICS_PORT = 9464
 METRICS_PATH = "/metrics"
 """Scrape target that the deploy file declares; OpenTelemetry uses the same port."""
@@ -109,12 +107,13 @@
             self._client,
             self._store_state,
             self._role,
-            follow.Callbacks(self._on_changed, self._push_to_zone, self._ping_zone),
+            follow.Callbacks(self._on_changed, self._request_push, self._ping_zone),
             self._first_copy.list_due,
             follow.watch_wait_s(cfg.bounds.apply_s),
             seed=incarnation,
         )
         self._mesh = mesh.Mesh(cfg.vm.address, self._on_message)
+        self._zone_push = zone_push.ZonePush(self._build_push, self._send_to_zone)
         self._owner = slot_owner.SlotOwner(
             self._retry_limits(), self._send, self._view.is_first_owner, seed=incarnation
         )
@@ -158,6 +157,7 @@
         for name, task_fn in (
             ("mesh", self._mesh.run),
             ("follower", self._follower.run),
+            ("zone-push", self._zone_push.run),
             ("seeds", self._pull_from_seeds),
             ("tick", self._tick),
             ("sweep", self._sweep),
@@ -276,7 +276,8 @@
             announced = watches
 
     def _ping_zone(self) -> None:
-        message = self._ping_message(reply_requested=False)
+        # VMs pull the revision that a ping announces, unless they have it.
+        message = self._ping_message(reply_requested=False, revision=self._zone_push.missing_after)
         for vm in self._zone_peers():
             self._send(vm.address, message)
 
@@ -387,16 +388,19 @@
         for vm in notices.receivers(self._view.members.listed(), self._cfg.vm.zone, self._rng):
             self._send(vm.address, notice)
 
-    def _push_to_zone(self, after: int, changes: fleetmodel.Changes) -> float:
-        """Pushes changes that this VM received from outside its zone to the VMs of the zone.
+    def _request_push(self, after: int) -> None:
+        """Pushes the changes after a revision, from outside the zone, to the VMs of the zone."""
+        self._zone_push.request(after)
 
-        Returns the transmission time in seconds on the link of a small VM.
-        """
-        raw = fleet_messages.encode(fleet_messages.Push(after, changes))
+    def _build_push(self, after: int) -> fleet_messages.Push | None:
+        changes = self._follower.local_copy.since(after)
+        return None if changes is None else fleet_messages.Push(after, changes)
+
+    def _send_to_zone(self, raw: bytes, kind: type) -> int:
         peers = self._zone_peers()
         for vm in peers:
-            self._mesh.send_encoded(vm.address, raw, fleet_messages.Push)
-        return len(raw) * len(peers) * 8 / PUSH_BITS_PER_S
+            self._mesh.send_encoded(vm.address, raw, kind)
+        return len(peers)
 
     def _set_servers(self, pools) -> None:
         now = self._loop.time()
@@ -487,9 +491,12 @@
         if not self._follower.apply_changes(message.after, message.changes):
             logs.event("changes out of order", level="DEBUG", after=message.after)
         elif message.forward_to_zone:
-            self._push_to_zone(message.after, message.changes)
+            self._request_push(message.after)
 
-    def _ping_message(self, reply_requested: bool) -> fleet_messages.Ping:
+    def _ping_message(
+        self, reply_requested: bool, revision: int | None = None
+    ) -> fleet_messages.Ping:
+        """Returns a ping that announces ``revision``, or that of the own copy."""
         now = self._loop.time()
         return fleet_messages.Ping(
             sender=self._cfg.vm.id,
@@ -497,7 +504,7 @@
             zone=self._cfg.vm.zone,
             incarnation=self._view.incarnation,
             leaving=self._leaving.is_set(),
-            revision=self._follower.local_copy.revision,
+            revision=self._follower.local_copy.revision if revision is None else revision,
             store_available_s=self._store_state.own_available_s(now) if self._watches() else None,
             reply_requested=reply_requested,
         )
