Do not copy records that no VM reads from VM to VM

Cause: watchers pushed the bytes of every key to all VMs of the zone, whether or not anything decodes them. On links of 10 Mbit/s, 1 MB to 8 VMs takes 8 s, and the next push waits for it.

Change: records from the store pass records.compact, which keeps the known fields of a large server record and replaces other large records, and keys of other writers, by a malformed one. They name no server then, as before.

--- a/dotterelfront/fleet_view.py
+++ b/dotterelfront/fleet_view.py
@@ -15,7 +15,7 @@
 from dotterelfront import catalog, codec, errors, fleetmodel, logs, membership, models, placement
 from dotterelfront.platform import records
 
-VMS_PREFIX = "dotterelfront/vms/"
+VMS_PREFIX = records.OWN_PREFIX + "vms/"
 """Prefix of the keys of VM records. Each VM writes its own record under its own lease."""
 
 
--- a/dotterelfront/follow.py
+++ b/dotterelfront/follow.py
@@ -137,6 +137,7 @@
         role: watch_role.WatchRole,
         callbacks: Callbacks,
         list_due: Callable[[float], bool] = lambda now: True,
+        compact: Callable[[fleetmodel.Record], fleetmodel.Record] = lambda record: record,
         watch_wait_s: float = WATCH_WAIT_MIN_S,
         seed: int = 0,
     ):
@@ -151,6 +152,8 @@
         self._callbacks = callbacks
         self._list_due = list_due
         """Whether to list the records now while the copy is not complete."""
+        self._compact = compact
+        """Reduces a record from the store to what the VMs of the fleet need."""
         self._watch_wait_s = watch_wait_s
         self._rng = random.Random(seed)
 
@@ -241,7 +244,7 @@
     async def _list(self) -> None:
         """Lists all records; a watcher that lost the store's history pushes what it missed."""
         after = self.local_copy.revision
-        listing = await self._client.list_all(ALL_KEYS_PREFIX)
+        listing = self._compacted(await self._client.list_all(ALL_KEYS_PREFIX))
         self._state.succeeded(_now())
         self.is_complete = True
         self._notify_changed(self.local_copy.replace(listing, _now()))
@@ -261,13 +264,17 @@
             call.cancel()
         if not call.done():
             return
-        changes = call.result()
+        changes = self._compacted(call.result())
         self._state.succeeded(_now())
         self._notify_changed(self.local_copy.merge(changes, _now()))
         if changes.records:
             self._callbacks.on_watched(after)
             await asyncio.sleep(BATCH_S)
 
+    def _compacted(self, changes: fleetmodel.Changes) -> fleetmodel.Changes:
+        records = tuple(self._compact(record) for record in changes.records)
+        return msgspec.structs.replace(changes, records=records)
+
     def _notify_changed(self, keys: set[str]) -> None:
         if keys:
             self._callbacks.on_changed(keys)
--- a/dotterelfront/node.py
+++ b/dotterelfront/node.py
@@ -109,6 +109,7 @@
             self._role,
             follow.Callbacks(self._on_changed, self._request_push, self._ping_zone),
             self._first_copy.list_due,
+            records.compact,
             follow.watch_wait_s(cfg.bounds.apply_s),
             seed=incarnation,
         )
--- a/dotterelfront/platform/records.py
+++ b/dotterelfront/platform/records.py
@@ -20,10 +20,16 @@
 CONFIG_PREFIX = "op/"
 CONFIG_KEY = "op/config"
 SERVERS_PREFIX = "servers/"
+OWN_PREFIX = "dotterelfront/"
+"""Prefix of the keys that the fleet itself writes."""
 
 _STATE_BY_NAME = {"ready": models.ServerState.ACTIVE, "draining": models.ServerState.LEAVING}
 _IDEMPOTENT_BY_KIND = {"safe": True, "download": True, "unsafe": False}
 """Whether requests of a kind are idempotent."""
+MAX_RECORD_BYTES = 4_000
+"""A record of a server or VM has a few hundred bytes; larger ones are reduced by ``compact``."""
+_UNREADABLE = b""
+"""Value that every decoder rejects."""
 MAX_SLOTS = 100_000
 """Larger slot counts are errors of the writer."""
 _SERVER_ID = re.compile(r"[!-~]+")
@@ -86,6 +92,30 @@
     limits: _LimitsRecord = msgspec.field(default_factory=_LimitsRecord)
 
 
+def compact(record: fleetmodel.Record) -> fleetmodel.Record:
+    """Returns a record without what no decoder reads, so that VMs do not copy it to each other.
+
+    A large record of a server keeps only the known fields. Other large records, and keys of other
+    writers, become malformed.
+    """
+    raw = record.value
+    if raw is None or record.key == CONFIG_KEY:
+        return record
+    if record.key.startswith((SERVERS_PREFIX, OWN_PREFIX)) and len(raw) <= MAX_RECORD_BYTES:
+        return record
+    value = _known_fields(raw) if record.key.startswith(SERVERS_PREFIX) else _UNREADABLE
+    return fleetmodel.Record(record.key, record.revision, value)
+
+
+def _known_fields(raw: bytes) -> bytes:
+    """Returns the known fields of a server's record, nothing if it is malformed or still large."""
+    try:
+        value = msgspec.json.encode(_decode(raw, _ServerRecord))
+    except errors.RecordError:
+        return _UNREADABLE
+    return value if len(value) <= MAX_RECORD_BYTES else _UNREADABLE
+
+
 def server(key: str, raw: bytes) -> fleetmodel.Instance:
     """Decodes the record of a server; raises ``errors.RecordError``."""
     record = _decode(raw, _ServerRecord)
--- a/tests/test_follow.py
+++ b/tests/test_follow.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
 from dotterelfront import errors, fleetmodel, follow, watch_role
@@ -103,6 +104,18 @@
     assert [record.revision for record in harness.follower.local_copy.since(5).records] == [8]
 
 
+def test_records_from_the_store_are_compacted(monkeypatch):
+    """Guards against large odd records that reach the copy, and from there all VMs."""
+
+    async def scenario():
+        harness = FollowerHarness(changes(5, "a"), changes(6, "b"), monkeypatch=monkeypatch)
+        harness.follower._compact = lambda record: msgspec.structs.replace(record, value=b"")
+        return await harness.run()
+
+    copied = asyncio.run(scenario()).follower.local_copy.items("")
+    assert [(record.key, record.value) for record in copied] == [("a", b""), ("b", b"")]
+
+
 def test_vm_that_does_not_watch_applies_changes_from_others(monkeypatch):
     async def scenario():
         harness = FollowerHarness(changes(5, "a"), watches=False, monkeypatch=monkeypatch)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -123,6 +123,37 @@
     assert 0.0 <= instance.warmup_left_s < float("inf")
 
 
+@pytest.mark.parametrize(
+    ("key", "raw"),
+    [
+        ("servers/i-1", bytes(range(256)) * 4_096),
+        ("servers/i-1", modified(SERVER, ["info", "zone"], "z" * 100_000)),
+        ("other/key", b"{}"),
+        ("dotterelfront/vms/vm-1", b"x" * 100_000),
+    ],
+)
+def test_records_that_no_vm_reads_are_not_replicated(key, raw):
+    """Guards against changes that wait while watchers send one large odd record to their zone."""
+    compacted = records.compact(fleetmodel.Record(key, 7, raw))
+    assert compacted == fleetmodel.Record(key, 7, b"")
+
+
+def test_unknown_fields_of_a_large_server_record_are_not_replicated():
+    """Guards against a server that is lost because another writer added fields to its record."""
+    raw = modified(SERVER, ["notes"], "x" * 100_000)
+    compacted = records.compact(fleetmodel.Record("servers/i-1", 7, raw))
+    assert len(compacted.value) < records.MAX_RECORD_BYTES
+    assert records.server("servers/i-1", compacted.value) == records.server("servers/i-1", raw)
+
+
+@pytest.mark.parametrize("key", ["op/config", "servers/i-1", "dotterelfront/vms/vm-1"])
+def test_records_of_usual_size_are_replicated_as_they_are(key):
+    record = fleetmodel.Record(key, 7, json.dumps(SERVER).encode())
+    assert records.compact(record) is record
+    removed = fleetmodel.Record(key, 8, None)
+    assert records.compact(removed) is removed
+
+
 def test_one_deeply_nested_record_leaves_the_others_in_force():
     """Guards against a VM without servers because one record cannot be decoded."""
     nested = b'{"note": ' + b"[" * 40_000 + b"]" * 40_000 + b"}"
