Replace watchers that the store does not answer in time

Cause: a renewal that fails 0.8 s after it began reports an outage since its start, but if the pending watch had failed a moment before, that later time was kept, and the watcher stayed for one more renewal. Rejections had to go on for 0.7 s, and the end of a watch was announced only with the next heartbeat. A VM that took over announced itself before the store had answered it.

Change: the earliest failure since the last success counts. A watcher is announced only while its latest call has succeeded and none is late, and a change of that is sent to the zone at once. A VM that starts to watch checks the store first. Renewals every 0.5 s in place of 0.7 s.

--- a/dotterelfront/follow.py
+++ b/dotterelfront/follow.py
@@ -50,6 +50,10 @@
     def __init__(self, now: float):
         self._own_available_since: float | None = now
         self._failing_since: float | None = None
+        self._last_success = now
+        self.confirmed = False
+        """Whether this VM's latest own call succeeded, and none is late. Only then may other VMs
+        rely on it to watch the store."""
         self._reports: dict[models.VmId, tuple[float, float]] = {}
         """For each watcher: since when the store has been available, and the time of the report."""
 
@@ -61,18 +65,27 @@
     def succeeded(self, now: float) -> None:
         """Records a successful call."""
         self._failing_since = None
+        self._last_success = now
+        self.confirmed = True
         if self._own_available_since is None:
             self._own_available_since = now
             logs.event("store available again")
 
     def failed(self, now: float, since: float | None = None) -> None:
         """Records a failed call that began at ``since``."""
-        if self._failing_since is None:
-            self._failing_since = now if since is None else since
+        self.confirmed = False
+        # An earlier call may fail later than a call that began after it.
+        started = max(self._last_success, now if since is None else since)
+        if self._failing_since is None or started < self._failing_since:
+            self._failing_since = started
         if self._own_available_since is not None and now - self._failing_since >= OUTAGE_AFTER_S:
             self._own_available_since = None
             logs.event("store unavailable", level="WARNING")
 
+    def on_late(self) -> None:
+        """Records that a call takes unusually long; it may still succeed."""
+        self.confirmed = False
+
     def on_report(
         self, watcher: models.VmId, available_s: float, watches: bool, now: float
     ) -> None:
@@ -84,6 +97,7 @@
         self._reports[watcher] = (now - available_s, now)
         if not watches:
             self._failing_since = None
+            self.confirmed = False
             self._own_available_since = min(self._recent_reports(now))
 
     def own_available_s(self, now: float) -> float | None:
--- a/dotterelfront/node.py
+++ b/dotterelfront/node.py
@@ -62,12 +62,15 @@
 LEASE_RENEWAL_S = 5.0
 """The lease of the VM's record lasts for three renewal intervals. Failed calls reveal a stopped VM
 sooner."""
-WATCHER_RENEWAL_S = 0.7
+WATCHER_RENEWAL_S = 0.5
 """Renewal interval of a watcher. A pending watch does not reveal that the store is failing, but a
-failed renewal does."""
+failed or late renewal does."""
 WATCHER_RENEWAL_TIMEOUT_S = 0.8
-"""Lets another VM take over within two seconds from a watcher that gets no response from the store.
-A renewal takes 4 ms, and 0.4 s on a store that is a hundred times slower."""
+"""A renewal takes 4 ms, and 0.4 s on a store that is a hundred times slower."""
+LATE_RENEWAL_S = 0.4
+"""Time without a response to its renewal after which a watcher lets other VMs take over. A change
+must be in force two seconds after the store accepted it, also if all watchers have lost the store.
+"""
 RECORD_TASK = "renew-record"
 SETTINGS_CHECK_INTERVAL_S = 5.0
 """Interval of checks for a changed settings file. The file changes rarely, and a check costs one
@@ -108,7 +111,7 @@
             self._client,
             self._store_state,
             self._role,
-            follow.Callbacks(self._on_changed, self._request_push, self._ping_zone),
+            follow.Callbacks(self._on_changed, self._request_push, self._on_watch_started),
             self._first_copy.list_due,
             records.compact,
             follow.watch_wait_s(cfg.bounds.apply_s),
@@ -141,6 +144,7 @@
         self._lags: collections.deque[float] = collections.deque([0.0], maxlen=LAG_SAMPLES)
         """Delays of the latest sweeps in seconds."""
         self._lease: int | None = None
+        self._renewal_requested = asyncio.Event()
         self._encoded_copy: tuple[int, bytes] | None = None
         """Revision and bytes of the last whole copy that was sent."""
         self._supervisor = supervisor.Supervisor(self._leaving.set)
@@ -295,10 +299,11 @@
                 self._ping_other_zones()
 
     def _watches(self) -> bool:
-        """Whether this VM watches the store and can reach it."""
+        """Whether this VM watches the store, and its calls to the store succeed."""
         return (
             self._follower.is_complete
             and self._store_state.reachable
+            and self._store_state.confirmed
             and self._role.should_watch(self._loop.time())
         )
 
@@ -319,20 +324,20 @@
         key, value = self._view.record()
         written_under: int | None = None
         while True:
+            self._renewal_requested.clear()
             started = self._loop.time()
             watches = self._role.should_watch(started)
-            timeout_s = WATCHER_RENEWAL_TIMEOUT_S if watches else store.CALL_TIMEOUT_S
             try:
                 if self._lease is None:
                     self._lease = await self._client.lease(LEASE_S)
                 if written_under != self._lease:
                     await self._client.put(key, value, self._lease)
                     written_under = self._lease
-                elif not await self._client.renew_lease(self._lease, timeout_s):
+                elif not await self._renew_lease(watches):
                     self._lease = None
                     continue
                 if watches:
-                    self._store_state.succeeded(self._loop.time())
+                    self._on_store_answered()
             except errors.StoreRefusedError as exc:
                 # The lease has ended before the record was written under it.
                 self._lease = None
@@ -340,9 +345,42 @@
             except errors.StoreError as exc:
                 if watches:
                     self._store_state.failed(self._loop.time(), since=started)
+                    self._ping_zone()
                 logs.event("record not renewed", level="DEBUG", error=str(exc))
             interval_s = WATCHER_RENEWAL_S if watches else LEASE_RENEWAL_S
-            await asyncio.sleep(interval_s * self._rng.uniform(0.9, 1.1))
+            await self._wait_for_renewal(interval_s * self._rng.uniform(0.9, 1.1))
+
+    async def _renew_lease(self, watches: bool) -> bool:
+        """Renews the lease; a watcher without a quick response lets other VMs take over."""
+        timeout_s = WATCHER_RENEWAL_TIMEOUT_S if watches else store.CALL_TIMEOUT_S
+        call = asyncio.ensure_future(self._client.renew_lease(self._lease, timeout_s))
+        try:
+            await asyncio.wait([call], timeout=LATE_RENEWAL_S)
+            if watches and not call.done():
+                self._store_state.on_late()
+                self._ping_zone()
+            return await call
+        finally:
+            call.cancel()
+
+    async def _wait_for_renewal(self, interval_s: float) -> None:
+        """Waits until the next renewal is due or requested."""
+        try:
+            async with asyncio.timeout(interval_s):
+                await self._renewal_requested.wait()
+        except TimeoutError:
+            return
+
+    def _on_store_answered(self) -> None:
+        """Announces a watcher as soon as the store has answered it."""
+        is_news = not self._store_state.confirmed
+        self._store_state.succeeded(self._loop.time())
+        if is_news:
+            self._ping_zone()
+
+    def _on_watch_started(self) -> None:
+        """Checks at once that the store answers; only then does the VM announce that it watches."""
+        self._renewal_requested.set()
 
     async def _delete_record(self) -> None:
         """Deletes the VM's record.
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -79,6 +79,11 @@
         last_line = self._log_path.read_text().strip().rpartition("\n")[2]
         return '"settings rejected"' in last_line and '"ERROR"' in last_line
 
+    def watches_store(self) -> bool:
+        """Whether the VM watches the store, by its log."""
+        lines = [line for line in self._log_path.read_text().splitlines() if "store watch " in line]
+        return bool(lines) and "store watch started" in lines[-1]
+
     def send(self, signum: signal.Signals) -> None:
         if self._process is not None and self._process.returncode is None:
             self._end_requested |= signum in _ENDING_SIGNALS
--- a/soak/play.py
+++ b/soak/play.py
@@ -53,14 +53,15 @@
 class Environment:
     """The fleet under test with its platform, backend servers and load."""
 
-    def __init__(self, seed: int, folder: pathlib.Path):
+    def __init__(self, seed: int, folder: pathlib.Path, zones: str = "ab"):
         self.rng = random.Random(seed)
         self.observations = records.Observations()
+        self._zones = zones
         # The process id separates runs of the same seed beside each other.
         self.network = f"127.{60 + seed % 40}.{(seed // 40 + os.getpid()) % 250}"
         self.store = platform_store.PlatformStore()
         self.vms = [
-            fleet.FleetVm(number, self.network, "ab"[number % 2], folder)
+            fleet.FleetVm(number, self.network, zones[number % len(zones)], folder)
             for number in range(1, VMS + 1)
         ]
         self.load = caller.LoadGenerator(self.vms, self.observations, self.rng)
@@ -80,7 +81,7 @@
         server = backend.Backend(
             f"i-{self._servers_started}",
             pool,
-            "ab"[self._servers_started % 2],
+            self._zones[self._servers_started % len(self._zones)],
             address,
             self.observations,
         )
@@ -152,10 +153,13 @@
 
 
 async def run_with_fleet(
-    seed: int, folder: pathlib.Path, scenario: Callable[[Environment], Awaitable[Result]]
+    seed: int,
+    folder: pathlib.Path,
+    scenario: Callable[[Environment], Awaitable[Result]],
+    zones: str = "ab",
 ) -> Result:
     """Runs a scenario on a fleet that is ready; stops its processes and servers afterwards."""
-    env = Environment(seed, folder)
+    env = Environment(seed, folder, zones)
     for vm in env.vms:
         await env.store.serve(vm.store_host, fleet.STORE_PORT)
     for pool in POOLS * SERVERS_PER_POOL:
--- a/tests/test_follow.py
+++ b/tests/test_follow.py
@@ -150,6 +150,37 @@
     assert (state.removals_trusted(21.9, 2.0), state.removals_trusted(22.0, 2.0)) == (False, True)
 
 
+def test_outage_begins_with_the_earliest_failed_call():
+    """Guards against a watcher that stays in its role because a later call failed first."""
+    state = follow.StoreState(0.0)
+    state.succeeded(5.0)
+    state.failed(6.7)
+    state.failed(6.8, since=6.0)
+    assert not state.reachable
+
+
+def test_call_that_began_before_the_latest_success_is_no_outage():
+    state = follow.StoreState(0.0)
+    state.succeeded(6.6)
+    state.failed(6.8, since=6.0)
+    assert state.reachable
+
+
+def test_only_an_own_successful_call_confirms_the_store():
+    """Guards against watchers that others rely on although the store does not answer them."""
+    state = follow.StoreState(0.0)
+    assert not state.confirmed
+    for doubt in (
+        lambda: state.failed(5.0),
+        state.on_late,
+        lambda: state.on_report("vm-2", 60.0, watches=False, now=6.0),
+    ):
+        state.succeeded(4.0)
+        assert state.confirmed
+        doubt()
+        assert not state.confirmed
+
+
 def test_vm_that_does_not_watch_adopts_the_watchers_reports():
     state = follow.StoreState(0.0)
     state.failed(5.0, since=1.0)
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -25,7 +25,7 @@
     assert notices.receivers([vm("a-1", "a"), vm("a-2", "a")], "a", random.Random(1)) == []
 
 
-async def _time_until_served_s(env, vm, path):
+async def time_until_served_s(env, vm, path):
     """Waits until a VM no longer responds to a path with 404; returns the time in seconds."""
     started, not_found = env.now, True
     while not_found:
@@ -45,7 +45,7 @@
         env.store.silent_hosts = {vm.store_host for vm in isolated}
         await asyncio.sleep(0.2)
         env.configure("/extra/")
-        return await asyncio.gather(*[_time_until_served_s(env, vm, "/extra/1") for vm in isolated])
+        return await asyncio.gather(*[time_until_served_s(env, vm, "/extra/1") for vm in isolated])
 
     durations_s = asyncio.run(play.run_with_fleet(1, tmp_path, scenario))
     assert max(durations_s) < MAX_APPLY_S
