Bound a caller's deadline and a route's timeout

Callers would see (noted by the review as seen by reading): a request with a deadline of over 308 digits raised in every check of the connections, and eleven such checks end the process; on a route with a timeout of over 600 s all requests without a shorter deadline failed with 502.

Cause: the deadline was converted without a limit on its digits, and owners reject slot requests with more than MAX_REMAINING_S.

Change: a deadline of more than twelve digits counts as twelve nines; a slot request states at most MAX_REMAINING_S.

Evidence: three new tests failed before and pass now.

--- a/dotterelfront/platform/wire.py
+++ b/dotterelfront/platform/wire.py
@@ -19,6 +19,8 @@
 _SERVER_ID = "target-instance"
 _SIGNATURE = "response-sig"
 _NOT_EXECUTED = "not-executed"
+MAX_TIME_DIGITS = 12
+"""A longer number of milliseconds counts as this many nines, about 32 years."""
 MISDIRECTED = 421
 """Status from a server that is not the one named in the request."""
 
@@ -29,7 +31,10 @@
 def time_left_s(fields: Mapping[str, str]) -> float | None:
     """Returns the caller's remaining time in seconds, or None when the request states none."""
     text = fields.get(_REMAINING_TIME, "")
-    return int(text) / 1000 if text.isdecimal() else None
+    if not text.isdecimal():
+        return None
+    digits = text.lstrip("0") or "0"
+    return int(digits if len(digits) <= MAX_TIME_DIGITS else "9" * MAX_TIME_DIGITS) / 1000
 
 
 def request_id(fields: Mapping[str, str]) -> str:
--- a/dotterelfront/slot_client.py
+++ b/dotterelfront/slot_client.py
@@ -306,7 +306,7 @@
             route=requirements.route,
             priority=requirements.priority,
             idempotent=requirements.idempotent,
-            remaining_s=requirements.deadline - now,
+            remaining_s=min(requirements.deadline - now, fleet_messages.MAX_REMAINING_S),
             wait=wait is not Wait.NO,
             is_retry=requirements.is_retry,
             avoid=requirements.avoid,
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -104,6 +104,22 @@
     run(scenario)
 
 
+@pytest.mark.parametrize("digits", [400, 5_000])
+def test_endless_deadline_does_not_stop_the_checks_of_connections(digits):
+    """Guards against one header of a caller that ends the process of a VM."""
+
+    async def scenario():
+        caller = Caller()
+        head = b"POST /p HTTP/1.1\r\nHost: shop\r\nContent-Length: 4\r\n"
+        await caller.send(head + b"Request-Deadline: " + b"9" * digits + b"\r\n\r\nbo")
+        caller.gateway.sweep(caller.conn._loop.time())
+        await caller.send(b"dy")
+        await caller.answer("/p")
+        assert caller.transport.bodies == [b"/p"]
+
+    run(scenario)
+
+
 def test_disconnect_cancels_the_requests_of_a_caller():
     """Guards against work for callers that have disconnected."""
 
--- a/tests/test_slot_client.py
+++ b/tests/test_slot_client.py
@@ -94,6 +94,20 @@
     assert fleet.released == [("a1", health.AttemptResult.ANSWERED)]
 
 
+def test_a_deadline_beyond_the_limit_of_owners_is_shortened(monkeypatch):
+    """Guards against routes with a long timeout whose requests all fail."""
+    fleet = Fleet(monkeypatch, {"a1": ["i-1"]})
+
+    async def scenario():
+        deadline = asyncio.get_running_loop().time() + 10 * fleet_messages.MAX_REMAINING_S
+        requirements = slot_client.SlotRequirements(
+            "orders", "r", models.Priority.NORMAL, True, deadline
+        )
+        return await fleet.client.acquire(requirements)
+
+    assert asyncio.run(scenario()).server == "i-1"
+
+
 def test_a_free_slot_in_another_zone_is_preferred_to_a_queue(monkeypatch):
     """Guards against requests that wait while other zones have free slots."""
     fleet = Fleet(monkeypatch, {"a1": [NO_FREE_SLOT], "b1": ["i-2"]})
