Test heads of responses that end early

Other operators report a 200 with an empty or short body, framed as whole, after a server stopped in the middle of its head. It can't happen here: the response must have its blank line, and the end of the stream before it breaks the exchange.

--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -99,6 +99,25 @@
     assert not conn.reusable
 
 
+HEAD_START = b"HTTP/1.1 200 OK\r\nRequest-Id: a\r\nResponse-Sig: s\r\n"
+HEADS = [
+    HEAD_START + b"Content-Length: 10\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nRequest-Id: a\r\nResponse-Sig: s\r\n\r\n",
+    HEAD_START + b"Transfer-Encoding: chunked\r\n\r\n",
+    HEAD_START + b"\r\n",
+    HEAD_START + b"Set-Cookie: a\r\nSet-Cookie: b\r\n\r\n",
+]
+
+
+@pytest.mark.parametrize("head", HEADS)
+def test_a_head_that_ends_early_is_never_a_response(head):
+    """Guards against an empty success when a server stops in the middle of its head."""
+    for end in range(len(head)):
+        conn, exc = run(data(head[:end]), eof)
+        assert isinstance(exc, errors.BrokenExchangeError), head[:end]
+        assert not conn.reusable
+
+
 def test_a_response_without_length_ends_at_eof():
     conn, res = run(data(b"HTTP/1.1 200 OK\r\nRequest-Id: a\r\n\r\nwhole"), eof)
     assert (res.body, conn.reusable) == (b"whole", False)
