Keep away from servers that leave or ask for a pause in their responses

Purpose: a server may say only in its responses that it leaves, and a VM that the store turns away has nothing else to go by. A server that turns a request away with 503 may ask the VM to send nothing for a time.

Change: server_signals keeps both for the VM that got the response, for one start of the server. The bound is read right before the send; a withheld request gives its slot back and asks for another one without the server. Owners grant no excluded server, and none that a hint names as leaving. A queued request whose permitted servers are busy no longer blocks others, which may use the free ones. When all servers of a pool want a pause, callers get 503 at once with the time of its end.

The soak has both as new faults and rules.

--- a/dotterelfront/errors.py
+++ b/dotterelfront/errors.py
@@ -304,6 +304,12 @@
     code = "CONNECT"
 
 
+class SendWithheldError(ExchangeError):
+    """The request was not sent, because the server must not get it any more."""
+
+    code = "SEND_WITHHELD"
+
+
 class BreakReason(enum.Enum):
     """Why an exchange with a server was given up."""
 
--- a/dotterelfront/fleet_messages.py
+++ b/dotterelfront/fleet_messages.py
@@ -31,8 +31,9 @@
     slot or a refusal at once. ``is_retry`` is set for a retry of a request that was already sent to
     a server, and ``avoid`` lists servers to grant only when no other one has a free slot. Servers
     in ``connected`` are preferred, which saves a new connection. With ``healthy_only`` the request
-    waits only until all servers are suspected, because it can wait in another zone. A second
-    message with the same ``call_id`` asks whether the request is still queued.
+    waits only until all servers are suspected, because it can wait in another zone. Servers in
+    ``excluded`` are not granted. A second message with the same ``call_id`` asks whether the
+    request is still queued.
     """
 
     sender: models.VmId
@@ -49,6 +50,7 @@
     avoid: tuple[models.ServerId, ...] = ()
     connected: tuple[models.ServerId, ...] = ()
     healthy_only: bool = False
+    excluded: tuple[models.ServerId, ...] = ()
 
     def __post_init__(self):
         # A slot with a deadline that is no number would never be reclaimed.
@@ -124,6 +126,18 @@
     revision: int
 
 
+class ServerLeaving(Message, frozen=True):
+    """Tells the owner of a pool's servers that one of them leaves, by its own response.
+
+    ``started_ms`` identifies the start of the server. The message is a hint that saves grants; each
+    VM keeps away from the servers that told it themselves.
+    """
+
+    server: models.ServerId
+    started_ms: int
+    pool: models.PoolName
+
+
 class Pull(Message, frozen=True):
     """Asks for the changes after a revision; the push returns the same ``forward_to_zone``.
 
@@ -171,6 +185,7 @@
     | Pull
     | Push
     | PatchPush
+    | ServerLeaving
 )
 
 COMPRESS_FROM_BYTES = 4_000
--- a/dotterelfront/fleet_view.py
+++ b/dotterelfront/fleet_view.py
@@ -8,7 +8,7 @@
 """
 
 import collections
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 
 import msgspec
 
@@ -109,10 +109,17 @@
             grouped[instance.zone].append(instance)
         return {zone: tuple(instances) for zone, instances in grouped.items()}
 
-    def zones(self, pool: models.PoolName) -> list[models.ZoneName]:
-        """Returns the zones in which a pool has active servers."""
-        active = models.ServerState.ACTIVE
-        return sorted({i.zone for i in self.catalog.instances(pool) if i.state is active})
+    def zones(
+        self, pool: models.PoolName, excluded: Collection[models.ServerId] = ()
+    ) -> list[models.ZoneName]:
+        """Returns the zones in which a pool has active servers other than the excluded ones."""
+        return sorted(
+            {
+                server.zone
+                for server in self.catalog.instances(pool)
+                if server.state is models.ServerState.ACTIVE and server.id not in excluded
+            }
+        )
 
     def owners(self, pool: models.PoolName, zone: models.ZoneName) -> Sequence[models.Vm]:
         """Returns the VMs that may grant slots, the first owner first.
--- a/dotterelfront/node.py
+++ b/dotterelfront/node.py
@@ -122,14 +122,15 @@
         self._owner = slot_owner.SlotOwner(
             self._retry_limits(), self._send, self._view.is_first_owner, seed=incarnation
         )
-        topology = slot_client.Topology(self._view.zones, self._view.owners, self._on_unreachable)
+        topology = slot_client.Topology(self._usable_zones, self._view.owners, self._on_unreachable)
         self._slots = slot_client.SlotClient(cfg.vm, self._send_to_vm, topology, incarnation)
         buffer_bytes = int((cfg.memory_limit_mb or DEFAULT_MEMORY_MB) * 1e6 * BUFFER_SHARE)
         self._budget = read_budget.ReadBudget(buffer_bytes)
         self._upstream = upstream.Upstream(self._budget)
-        self._relay = relay.Relay(
-            self._slots, self._view.catalog.get, self._upstream, seed=incarnation
+        fleet = relay.Fleet(
+            self._view.catalog.get, self._view.catalog.instances, self._on_server_leaving
         )
+        self._relay = relay.Relay(self._slots, fleet, self._upstream, seed=incarnation)
         self._metrics = node_metrics.NodeMetrics(cfg.vm_id, self._metric_sources())
         self._gateway = gateway.Gateway(
             self._relay.handle,
@@ -456,6 +457,20 @@
         for pool in sorted(pools):
             self._owner.set_servers(pool, self._view.servers_by_zone(pool), now)
 
+    def _usable_zones(self, pool: models.PoolName) -> list[models.ZoneName]:
+        """Returns the zones in which a pool has servers that may get requests from this VM."""
+        servers = self._view.catalog.instances(pool)
+        blocked = self._relay.signals.blocked(servers, self._loop.time())
+        return self._view.zones(pool, blocked)
+
+    def _on_server_leaving(self, server: fleetmodel.Instance) -> None:
+        """Tells the owners of a server that it leaves, so that they grant it no more."""
+        hint = fleet_messages.ServerLeaving(server.id, server.started_ms, server.pool)
+        self._on_leaving_hint(hint)
+        for vm in self._view.owners(server.pool, server.zone)[: slot_client.MAX_OWNERS_ASKED]:
+            if vm.id != self._cfg.vm_id:
+                self._send(vm.address, hint)
+
     # Messages
 
     def _send(self, address: str, message: fleet_messages.Message) -> bool:
@@ -487,6 +502,9 @@
     def _on_slot_reply(self, message) -> None:
         self._slots.on_reply(message)
 
+    def _on_leaving_hint(self, message: fleet_messages.ServerLeaving) -> None:
+        self._owner.mark_leaving(message.server, message.started_ms, self._loop.time())
+
     def _on_ping(self, message: fleet_messages.Ping) -> None:
         now = self._loop.time()
         self._view.members.on_reached(message.sender, message.incarnation, message.leaving, now)
@@ -631,6 +649,12 @@
             source("store_calls", "Calls to the store", "call", lambda: self._client.calls),
             source("shard_events", "Decisions of this VM's shards", "event", self._read_decisions),
             source("shards", "Requests in this VM's shards", "state", self._read_shards, False),
+            source(
+                "server_signals",
+                "Signals of servers, and withheld sends",
+                "kind",
+                self._read_signals,
+            ),
             source("caller_events", "Connections ended", "event", lambda: self._gateway.events),
             source("task_failures", "Errors of tasks", "task", lambda: self._supervisor.failures),
             source("broken_exchanges", "Broken exchanges", "reason", lambda: self._upstream.broken),
@@ -640,6 +664,9 @@
     def _read_answers(self) -> dict[str, int]:
         return {str(status): count for status, count in self._gateway.counters.items()}
 
+    def _read_signals(self) -> collections.Counter[str]:
+        return self._relay.signals.counters
+
     def _read_decisions(self) -> collections.Counter[str]:
         totals: collections.Counter[str] = collections.Counter()
         for snapshot in self._owner.snapshots(self._loop.time()):
@@ -679,6 +706,7 @@
     fleet_messages.Pull: Node._on_pull,
     fleet_messages.Push: Node._on_push,
     fleet_messages.PatchPush: Node._on_patch_push,
+    fleet_messages.ServerLeaving: Node._on_leaving_hint,
 }
 
 
--- a/dotterelfront/platform/wire.py
+++ b/dotterelfront/platform/wire.py
@@ -7,6 +7,7 @@
     wire.server_request_headers(pairs, "i-7f3a91c2", 1.93)    # of the request to that server
 """
 
+import re
 from collections.abc import Iterable, Mapping
 
 from dotterelfront import headers
@@ -19,6 +20,10 @@
 _SERVER_ID = "target-instance"
 _SIGNATURE = "response-sig"
 _NOT_EXECUTED = "not-executed"
+_LEAVING = "server-leaving"
+_RETRY_AFTER = "retry-after"
+_SECONDS = re.compile(r"[0-9]{1,300}(?:\.[0-9]{1,300})?")
+_UNAVAILABLE = 503
 MAX_TIME_DIGITS = 12
 """A longer number of milliseconds counts as this many nines, about 32 years."""
 MISDIRECTED = 421
@@ -56,6 +61,24 @@
     return _NOT_EXECUTED in fields or status == MISDIRECTED
 
 
+def announces_leaving(fields: Mapping[str, str]) -> bool:
+    """Whether a server's response says that the server leaves."""
+    return fields.get(_LEAVING, "").strip() == "1"
+
+
+def requested_pause_s(status: int, fields: Mapping[str, str]) -> float | None:
+    """Returns for how long a server that turned a request away wants none, in seconds.
+
+    Of several values in one response the longest counts. Values that are no positive number of
+    seconds, such as dates, ask for nothing.
+    """
+    if status != _UNAVAILABLE:
+        return None
+    values = [text.strip() for text in fields.get(_RETRY_AFTER, "").split(",")]
+    longest = max((float(text) for text in values if _SECONDS.fullmatch(text)), default=0.0)
+    return longest if longest > 0.0 else None
+
+
 def has_signature(fields: Mapping[str, str]) -> bool:
     """Whether the response carries a server's signature."""
     return _SIGNATURE in fields
--- a/dotterelfront/pools.py
+++ b/dotterelfront/pools.py
@@ -66,6 +66,8 @@
     DEADLINE = "deadline"
     OVERLOADED = "overloaded"
     CUSTOMER_LIMIT = "customer-limit"
+    EXCLUDED = "excluded"
+    """The request excludes all servers."""
     NO_FREE_SLOT = "no-room"
     """No slot is free now, and the request asked not to wait."""
 
@@ -146,6 +148,9 @@
         self._suspicion = suspicion or gray_server.Suspicion()
         self._servers = {server.address: server for server in servers}
         self._queue = queueing.RequestQueue(max_queue_length)
+        self._held: dict[int, queueing.Entry] = {}
+        """Tickets from the head of the queue whose permitted servers are busy, by id. Tickets that
+        may use other servers pass them."""
         self._times = queueing.RouteTimes()
         self._in_flight: dict[int, _Running] = {}
         self._busy: collections.Counter[models.ServerId] = collections.Counter()
@@ -194,6 +199,8 @@
             self._refuse(ticket, RefusalReason.NO_FREE_SLOT, now)
         elif not self._choice.active:
             self._refuse(ticket, RefusalReason.OVERLOADED, now)
+        elif not self._choice.has_candidates(ticket):
+            self._refuse(ticket, RefusalReason.EXCLUDED, now)
         elif now + self._expected_time(ticket, cost, long, now) >= ticket.deadline:
             self._refuse(ticket, RefusalReason.DEADLINE, now)
         else:
@@ -298,11 +305,12 @@
         return self._pool
 
     def queued(self, ticket_id: int) -> bool:
-        return ticket_id in self._queue
+        return ticket_id in self._queue or ticket_id in self._held
 
     def withdraw(self, ticket_id: int, now: float) -> list[Effect]:
         """Removes a queued ticket that its caller has given up; the ticket gets no effect."""
-        if self._queue.remove(ticket_id) is not None:
+        held = self._held.pop(ticket_id, None)
+        if held is not None or self._queue.remove(ticket_id) is not None:
             self.counters["withdrawn"] += 1
             self._dispatch(now)
         return self.take_effects()
@@ -342,7 +350,7 @@
 
     def is_empty(self) -> bool:
         """Whether nothing is queued or in flight."""
-        return not self._queue and not self._in_flight and not self._effects
+        return not (self._queue or self._held or self._in_flight or self._effects)
 
     def snapshot(self, now: float) -> Snapshot:
         return Snapshot(
@@ -377,6 +385,7 @@
         if not self._choice.active:
             self._refuse_all(self._queue.remove_all(), RefusalReason.OVERLOADED, now)
         self._mark_overdue(now)
+        self._dispatch_held(now)
         self._slots_exhausted = False
         while self._queue:
             allow_long = self._slow_in_flight < self._long_limit
@@ -386,6 +395,10 @@
             server = self._choice.select(entry.ticket, now)
             if server is not None and self._choice.should_hold(entry.ticket, server, now):
                 return
+            if server is None and entry.ticket.excluded:
+                self._queue.dequeue(entry, allow_long)
+                self._held[entry.ticket.ticket_id] = entry
+                continue
             if server is None:
                 # A server may be eligible for idempotent requests only. Only an idempotent ticket
                 # without a slot therefore proves that no other ticket can get one.
@@ -394,13 +407,41 @@
             self._queue.dequeue(entry, allow_long)
             self._grant(entry, server, now)
 
+    def _dispatch_held(self, now: float) -> None:
+        """Grants slots to held tickets, oldest first, and refuses those that cannot be served."""
+        for entry in list(self._held.values()):
+            ticket = entry.ticket
+            reason = self._held_refusal(ticket, now)
+            server = self._choice.select(ticket, now) if reason is None else None
+            if reason is not None:
+                del self._held[ticket.ticket_id]
+                self._refuse(ticket, reason, now)
+            elif server is not None and not self._choice.should_hold(ticket, server, now):
+                del self._held[ticket.ticket_id]
+                self._grant(entry, server, now)
+
+    def _held_refusal(self, ticket: queueing.Ticket, now: float) -> RefusalReason | None:
+        """Returns why a held ticket can no longer be served, None if it can."""
+        if not self._choice.active:
+            return RefusalReason.OVERLOADED
+        if ticket.healthy_only and self._choice.sends_away(now):
+            return RefusalReason.NO_FREE_SLOT
+        return self._refusal(ticket, now)
+
+    def _refusal(self, ticket: queueing.Ticket, now: float) -> RefusalReason | None:
+        """Returns why a ticket cannot be served in time, None if it can."""
+        if now + self._service_time(ticket.route, now) >= ticket.deadline:
+            return RefusalReason.DEADLINE
+        return None if self._choice.has_candidates(ticket) else RefusalReason.EXCLUDED
+
     def _next_ticket(self, allow_long: bool, now: float) -> queueing.Entry | None:
-        """Returns the next ticket that can meet its deadline; refuses those that cannot."""
+        """Returns the next ticket that can be served in time; refuses those that cannot."""
         while entry := self._queue.select(allow_long):
             ticket = entry.ticket
-            if now + self._service_time(ticket.route, now) >= ticket.deadline:
+            reason = self._refusal(ticket, now)
+            if reason is not None:
                 self._queue.remove(ticket.ticket_id)
-                self._refuse(ticket, RefusalReason.DEADLINE, now)
+                self._refuse(ticket, reason, now)
             elif not entry.long and self._is_long(ticket.route):
                 self._queue.move_to_long(entry)
             else:
@@ -468,7 +509,7 @@
             self._floor_guard.record_outcome(False, now)
 
     def _refuse(self, ticket: queueing.Ticket, reason: RefusalReason, now: float) -> None:
-        if reason is not RefusalReason.NO_FREE_SLOT:
+        if reason not in (RefusalReason.NO_FREE_SLOT, RefusalReason.EXCLUDED):
             self._floor_guard.record_outcome(False, now)
         self.counters[f"refused-{reason.value}"] += 1
         self._effects.append(Refusal(ticket.ticket_id, reason))
--- a/dotterelfront/queueing.py
+++ b/dotterelfront/queueing.py
@@ -64,6 +64,8 @@
     """Servers that are preferred because the caller's VM has an idle connection to them."""
     healthy_only: bool = False
     """Whether the ticket waits only until all servers are suspected."""
+    excluded: frozenset[models.ServerId] = frozenset()
+    """Servers that are not used for the ticket."""
 
 
 class Entry(msgspec.Struct, eq=False):
--- a/dotterelfront/relay.py
+++ b/dotterelfront/relay.py
@@ -18,8 +18,9 @@
 
 import asyncio
 import enum
+import functools
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import msgspec
 
@@ -32,6 +33,7 @@
     logs,
     models,
     routing,
+    server_signals,
     slot_client,
     upstream,
 )
@@ -40,6 +42,9 @@
 MAX_UNREACHED_ATTEMPTS = 4
 """Number of attempts that reached no server after which a request fails. Such an attempt sends no
 byte of the request."""
+MAX_WITHHELD_ATTEMPTS = 4
+"""Number of grants given back after which a request fails. The next slot request excludes the
+servers that want no requests, so more than one is rare."""
 AVOID_UNREACHABLE_S = 8.0
 """Time for which this VM avoids a server after a failed attempt to connect."""
 DEFAULT_RETRY_AFTER_S = 0.5
@@ -48,6 +53,8 @@
 DEADLINE_MARGIN_S = 0.1
 """A server error less than this time before a request's deadline, or after it, counts as a timeout
 and not as a fault of the server."""
+PAUSE_SPREAD_S = 0.25
+"""Callers that wait for the end of a pause come back over this time, not all at once."""
 HEDGE_SHARE = 0.6
 """Share of the time until its objective after which an idempotent request is hedged. Usual work is
 done by then, and a second server can still answer in time."""
@@ -87,6 +94,8 @@
     """No usable response; the request may have run."""
     TIMEOUT = "timeout"
     UNREACHED = "unreached"
+    WITHHELD = "withheld"
+    """Not sent, because the server leaves or wants no requests."""
 
 
 class _Outcome(msgspec.Struct):
@@ -104,6 +113,7 @@
     Verdict.LOST: health.AttemptResult.BROKEN,
     Verdict.TIMEOUT: health.AttemptResult.TIMEOUT,
     Verdict.UNREACHED: health.AttemptResult.CONNECT_FAILED,
+    Verdict.WITHHELD: health.AttemptResult.CANCELLED,
 }
 
 _RETRYABLE = {
@@ -113,9 +123,11 @@
     Verdict.LOST: False,
     Verdict.TIMEOUT: False,
     Verdict.UNREACHED: True,
+    Verdict.WITHHELD: True,
 }
 """Whether a non-idempotent request may be retried."""
 _RETRYABLE_IDEMPOTENT = _RETRYABLE | {Verdict.FAILED: True, Verdict.LOST: True}
+_NOT_SENT_OR_RUN = frozenset([Verdict.UNREACHED, Verdict.WITHHELD, Verdict.NOT_RUN])
 _RELAYED = frozenset([Verdict.ANSWERED, Verdict.FAILED, Verdict.TIMEOUT])
 """Verdicts whose response, if complete, is relayed to the caller."""
 NOT_RUN_STATUSES = frozenset([408, 421, 429, 503])
@@ -135,9 +147,24 @@
     objective: float
     sent_attempts: int = 0
     unreached_attempts: int = 0
+    withheld_attempts: int = 0
     may_have_run: bool = False
     last: _Outcome | None = None
     avoid: list[models.ServerId] = []
+    retry_after_s: float | None = None
+    """Time after which a retry can succeed, if it is known."""
+
+
+class Fleet(msgspec.Struct, frozen=True):
+    """Functions with which a relay looks up the fleet.
+
+    ``server`` and ``servers`` return the current server of an id and the servers of a pool.
+    ``on_leaving`` is called when a server says for the first time that it leaves.
+    """
+
+    server: Callable[[models.ServerId], fleetmodel.Instance | None]
+    servers: Callable[[models.PoolName], Sequence[fleetmodel.Instance]] = lambda pool: ()
+    on_leaving: Callable[[fleetmodel.Instance], None] = lambda server: None
 
 
 class Relay:
@@ -146,12 +173,13 @@
     def __init__(
         self,
         slots: slot_client.SlotClient,
-        servers: Callable[[models.ServerId], fleetmodel.Instance | None],
+        fleet: Fleet,
         connections: upstream.Upstream,
         seed: int = 0,
     ):
+        self.signals = server_signals.ServerSignals()
         self._slots = slots
-        self._servers = servers
+        self._fleet = fleet
         self._upstream = connections
         self._rng = random.Random(seed)
         self._config: fleetmodel.Configuration | None = None
@@ -185,6 +213,7 @@
                 or not self._record_outcome(route, outcome, progress)
                 or call.disconnected
             ):
+                progress.retry_after_s = self._pool_pause_s(pool) or progress.retry_after_s
                 return _answer(outcome or progress.last, progress)
 
     async def _attempt_hedged(
@@ -251,11 +280,13 @@
     ) -> _Outcome | None:
         """Sends the request to one server; returns None if a retry or a hedge gets no slot."""
         try:
+            self._check_pauses(pool)
             requirements = self._slot_requirements(route, pool, progress, is_hedge)
             lease = await self._slots.acquire(requirements)
-        except errors.OverloadedError:
+        except errors.OverloadedError as exc:
             if progress.last is None and not is_hedge:
                 raise
+            progress.retry_after_s = exc.retry_after_s
             return None
         result = health.AttemptResult.CANCELLED
         try:
@@ -263,7 +294,7 @@
             started = asyncio.get_running_loop().time()
             outcome = await self._send(lease.server, pool, req, progress)
             result = _ATTEMPT_RESULTS[outcome.verdict]
-            if outcome.verdict is not Verdict.ANSWERED:
+            if outcome.verdict not in (Verdict.ANSWERED, Verdict.WITHHELD):
                 _log_failure(req, route, lease.server, outcome, started)
             return outcome
         finally:
@@ -278,13 +309,18 @@
         progress: _Progress,
     ) -> _Outcome:
         now = asyncio.get_running_loop().time()
-        server = self._servers(server_id)
+        server = self._fleet.server(server_id)
         if server is None or server.pool != pool or now >= progress.deadline:
             return _Outcome(Verdict.UNREACHED)
         is_first = server_id not in progress.avoid
         progress.avoid.append(server_id)
+        remaining_s = progress.deadline - now
+        may_send = functools.partial(self._may_send, server, req)
         try:
-            res = await self._upstream.send(server, req, progress.deadline - now, reuse=is_first)
+            res = await self._upstream.send(server, req, remaining_s, is_first, may_send)
+        except errors.SendWithheldError:
+            progress.avoid.remove(server_id)
+            return _Outcome(Verdict.WITHHELD)
         except errors.ConnectError:
             self._unreachable[server_id] = asyncio.get_running_loop().time()
             return _Outcome(Verdict.UNREACHED)
@@ -292,6 +328,7 @@
             return _Outcome(Verdict.TIMEOUT)
         except errors.BrokenExchangeError as exc:
             return _Outcome(Verdict.LOST, reason=exc.reason.value)
+        self._record_signals(server, req, res)
         verdict = classify(res)
         if (
             verdict is Verdict.FAILED
@@ -301,6 +338,39 @@
             verdict = Verdict.TIMEOUT
         return _Outcome(verdict, res)
 
+    def _may_send(self, server: fleetmodel.Instance, req: upstream.UpstreamRequest) -> bool:
+        """Whether a server may get a request now; logs a request that is withheld."""
+        block = self.signals.block(server, asyncio.get_running_loop().time())
+        if block is None:
+            return True
+        self.signals.counters[f"withheld-{block.value}"] += 1
+        logs.event("send withheld", request=req.request_id, server=server.id, reason=block.value)
+        return False
+
+    def _record_signals(
+        self, server: fleetmodel.Instance, req: upstream.UpstreamRequest, res: exchange.Response
+    ) -> None:
+        """Records what a response says about further requests to its server."""
+        if wire.announces_leaving(res.fields) and self.signals.on_leaving(server):
+            logs.event("server leaves", request=req.request_id, server=server.id)
+            self._fleet.on_leaving(server)
+        pause_s = wire.requested_pause_s(res.status, res.fields)
+        if pause_s is not None:
+            self.signals.on_pause(server, pause_s, asyncio.get_running_loop().time())
+            logs.event("server pauses", request=req.request_id, server=server.id, for_s=pause_s)
+
+    def _check_pauses(self, pool: models.PoolName) -> None:
+        """Raises ``errors.OverloadedError`` if no server of a pool wants requests now."""
+        pause_s = self._pool_pause_s(pool)
+        if pause_s is not None:
+            raise errors.OverloadedError("no server of the pool wants requests", pause_s)
+
+    def _pool_pause_s(self, pool: models.PoolName) -> float | None:
+        """Returns when to retry if no server of a pool wants requests now, in seconds."""
+        now = asyncio.get_running_loop().time()
+        pause_s = self.signals.pool_pause_s(self._fleet.servers(pool), now)
+        return None if pause_s is None else pause_s + self._rng.uniform(0.0, PAUSE_SPREAD_S)
+
     def _record_outcome(
         self, route: fleetmodel.FleetRoute, outcome: _Outcome, progress: _Progress
     ) -> bool:
@@ -308,15 +378,18 @@
         progress.last = outcome
         if outcome.verdict is Verdict.UNREACHED:
             progress.unreached_attempts += 1
+        elif outcome.verdict is Verdict.WITHHELD:
+            progress.withheld_attempts += 1
         else:
             progress.sent_attempts += 1
-        if outcome.verdict not in (Verdict.UNREACHED, Verdict.NOT_RUN):
+        if outcome.verdict not in _NOT_SENT_OR_RUN:
             progress.may_have_run = True
         retryable = _RETRYABLE_IDEMPOTENT if route.idempotent else _RETRYABLE
         return (
             retryable[outcome.verdict]
             and progress.sent_attempts < route.attempts
             and progress.unreached_attempts < MAX_UNREACHED_ATTEMPTS
+            and progress.withheld_attempts < MAX_WITHHELD_ATTEMPTS
             and asyncio.get_running_loop().time() < progress.deadline
         )
 
@@ -337,6 +410,9 @@
             avoid=(*progress.avoid, *self._unreachable_servers()),
             objective=progress.objective,
             connected=self._upstream.connected(pool, route.idempotent),
+            excluded=self.signals.blocked(
+                self._fleet.servers(pool), asyncio.get_running_loop().time()
+            ),
             may_wait=not is_hedge,
         )
 
@@ -391,7 +467,8 @@
             res.status, list(wire.relayed_response_headers(res.headers, res.fields)), res.body
         )
     if not progress.may_have_run:
-        raise errors.OverloadedError("no server accepted the request", DEFAULT_RETRY_AFTER_S)
+        retry_after_s = progress.retry_after_s or DEFAULT_RETRY_AFTER_S
+        raise errors.OverloadedError("no server accepted the request", retry_after_s)
     if outcome.verdict is Verdict.TIMEOUT:
         raise errors.ResponseTimeoutError("no response before the deadline")
     raise errors.OutcomeUnknownError("no usable response")
--- a/dotterelfront/server_choice.py
+++ b/dotterelfront/server_choice.py
@@ -123,6 +123,8 @@
         best, best_rank, ties = None, None, 0
         for address, server in servers.items():
             busy = self.busy[address]
+            if address in ticket.excluded:
+                continue
             if busy >= server.slots or (is_test and not self._is_testable(address, now)):
                 continue
             if self._shedding.is_paused(address, now) or self._is_withheld(ticket, address, now):
@@ -148,6 +150,10 @@
                     best = address
         return best
 
+    def has_candidates(self, ticket: queueing.Ticket) -> bool:
+        """Whether any server may be used for a ticket, once it has a free slot."""
+        return not ticket.excluded.issuperset(self.active)
+
     def _is_testable(self, address: models.ServerId, now: float) -> bool:
         """Whether a suspected server may get a request that could wait in another zone.
 
--- a/dotterelfront/slot_client.py
+++ b/dotterelfront/slot_client.py
@@ -75,6 +75,8 @@
     """Time by which a response meets the latency objective of the route."""
     connected: tuple[models.ServerId, ...] = ()
     """Servers to which the VM has a connection that the request may reuse."""
+    excluded: tuple[models.ServerId, ...] = ()
+    """Servers that must not be granted."""
     may_wait: bool = True
     """Whether the request may wait for a slot; otherwise it takes only a free one."""
 
@@ -312,6 +314,7 @@
             avoid=requirements.avoid,
             connected=requirements.connected,
             healthy_only=wait is Wait.HEALTHY_ONLY,
+            excluded=requirements.excluded,
         )
 
     def _lease(self, owner: models.Vm, call_id: int, server: models.ServerId) -> SlotLease:
--- a/dotterelfront/slot_owner.py
+++ b/dotterelfront/slot_owner.py
@@ -115,6 +115,8 @@
         self._calls: dict[CallKey, _Call] = {}
         self._by_ticket: dict[int, _Call] = {}
         self._connect_failures: dict[models.ServerId, dict[models.VmId, float]] = {}
+        self._leaving: dict[models.ServerId, int] = {}
+        """The start, in milliseconds, of servers that said that they leave."""
         self._next_ticket = 1
 
     @property
@@ -137,12 +139,22 @@
         for key in previous | updated.keys():
             shard = self._shards.get(key)
             if shard is not None:
-                new_pool, servers = _as_pool(key, self._servers.get(key, ()))
+                new_pool, servers = self._as_pool(key)
                 self._apply_effects(key, shard.queue.reconfigure(new_pool, servers, now), now)
         server_ids = {server.id for instances in self._servers.values() for server in instances}
         self._suspicion.retain(server_ids)
-        for server in self._connect_failures.keys() - server_ids:
-            del self._connect_failures[server]
+        for state in (self._connect_failures, self._leaving):
+            for server in state.keys() - server_ids:
+                del state[server]
+
+    def mark_leaving(self, server: models.ServerId, started_ms: int, now: float) -> None:
+        """Grants no more slots of a server that said that it leaves; a later start of it may get
+        requests."""
+        self._leaving[server] = max(started_ms, self._leaving.get(server, started_ms))
+        for pool in {key[0] for key in self._servers}:
+            by_zone = {key[1]: found for key, found in self._servers.items() if key[0] == pool}
+            if any(server == instance.id for found in by_zone.values() for instance in found):
+                self.set_servers(pool, by_zone, now)
 
     def set_limits(self, limits: RetryLimits) -> None:
         """Applies changed retry limits to all shards."""
@@ -189,6 +201,7 @@
             avoid=frozenset(message.avoid),
             connected=frozenset(message.connected),
             healthy_only=message.healthy_only,
+            excluded=frozenset(message.excluded),
         )
         self._apply_effects(shard_key, shard.queue.submit(ticket, now, wait=message.wait), now)
         if shard.queue.queued(call.ticket_id):
@@ -299,6 +312,24 @@
         trial_due = shard.queue.is_trial_due(now)
         return fleet_messages.SlotRefusal(call_id, reason, retry_after_s, wait_s, trial_due)
 
+    def _as_pool(self, key: ShardKey) -> tuple[models.Pool, tuple[models.Server, ...]]:
+        servers = tuple(
+            models.Server(
+                address=instance.id,
+                zone=instance.zone,
+                slots=instance.slots,
+                state=self._state(instance),
+            )
+            for instance in self._servers.get(key, ())
+        )
+        return models.Pool(key[0], servers, floor=0, warmup_s=WARMUP_S), servers
+
+    def _state(self, instance: fleetmodel.Instance) -> models.ServerState:
+        leaving_start = self._leaving.get(instance.id)
+        if leaving_start is not None and instance.started_ms <= leaving_start:
+            return models.ServerState.LEAVING
+        return instance.state
+
     def _new_budget(self, now: float) -> retries.RetryBudget:
         limits = self._limits
         return retries.RetryBudget(limits.retry_ratio, limits.retry_burst, limits.refill_per_s, now)
@@ -306,7 +337,7 @@
     def _shard(self, key: ShardKey, now: float) -> _Shard:
         shard = self._shards.get(key)
         if shard is None:
-            pool, servers = _as_pool(key, self._servers.get(key, ()))
+            pool, servers = self._as_pool(key)
             shard = self._shards[key] = _Shard(
                 pools.PoolShard(
                     pool,
@@ -324,19 +355,3 @@
             shard.divisor = divisor
             self._apply_effects(key, shard.queue.set_slot_divisor(divisor, now), now)
         return shard
-
-
-def _as_pool(
-    key: ShardKey, instances: Iterable[fleetmodel.Instance]
-) -> tuple[models.Pool, tuple[models.Server, ...]]:
-    servers = tuple(
-        models.Server(
-            address=instance.id,
-            zone=instance.zone,
-            slots=instance.slots,
-            state=instance.state,
-        )
-        for instance in instances
-    )
-    pool = models.Pool(key[0], servers, floor=0, warmup_s=WARMUP_S)
-    return pool, servers
--- a/dotterelfront/upstream.py
+++ b/dotterelfront/upstream.py
@@ -13,6 +13,7 @@
 import asyncio
 import collections
 import functools
+from collections.abc import Callable
 
 import msgspec
 
@@ -69,11 +70,14 @@
         req: UpstreamRequest,
         remaining_s: float,
         reuse: bool = True,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> exchange.Response:
         """Sends a request to one server and returns its response.
 
         ``remaining_s`` is the time left until the request's deadline. ``reuse`` must be false if
         the server has had the request before: a late copy of its first response has the same id.
+        ``may_send`` is asked right before the request is sent; if it refuses,
+        ``errors.SendWithheldError`` is raised.
         """
         started = asyncio.get_running_loop().time()
         # Only the id tells a late response to an earlier request from the expected one.
@@ -86,6 +90,9 @@
         if remaining_s <= 0.0:
             self._put_idle(server, conn)
             raise errors.ConnectError("the deadline passed before the request was sent")
+        if not may_send():
+            self._put_idle(server, conn)
+            raise errors.SendWithheldError(f"{server.id} gets no requests")
         pairs = wire.server_request_headers(req.headers, server.id, remaining_s)
         matches = functools.partial(_is_response_to, req.request_id)
         timeout_s = remaining_s + RESPONSE_SLACK_S
--- a/soak/backend.py
+++ b/soak/backend.py
@@ -1,6 +1,7 @@
 """Backend servers of the soak, registered in the platform store, with faults that the soak sets."""
 
 import asyncio
+import dataclasses
 import json
 import random
 
@@ -20,11 +21,21 @@
     """One instance of a backend server; ``fault`` applies to ``share`` of its requests."""
 
     def __init__(
-        self, name: str, pool: str, zone: str, address: str, observations: records.Observations
+        self,
+        name: str,
+        pool: str,
+        zone: str,
+        address: str,
+        observations: records.Observations,
+        born: int = 0,
     ):
         self.name, self.pool, self.zone, self.address = name, pool, zone, address
         self.fault, self.share = "", 0.0
         self.state, self._sequence = "ready", 0
+        self.born = born
+        self.announces_leaving = False
+        self.pause_s = 0.0
+        """Pause that the server asks for with each request, which it turns away; 0 for none."""
         self._observations = observations
         self._slots = asyncio.Semaphore(4)
         self._waiting = 0
@@ -44,11 +55,28 @@
             "addr": self.address,
             "info": {"service": self.pool, "version": "v1", "zone": self.zone, "slots": 4},
             "status": {"state": self.state, "seq": self._sequence, "warmup-left": "0ms"},
+            "born": self.born,
         }
         store.put(f"servers/{self.name}", json.dumps(record).encode())
 
     async def _handle(self, req: http_server.Request) -> http_server.Response:
+        request_id = req.headers["request-id"]
+        arrival = records.Arrival(self.name, self.born, asyncio.get_running_loop().time())
+        self._observations.arrivals[request_id].append(arrival)
+        if self.pause_s:
+            pause = records.Pause(arrival, request_id, self.pause_s)
+            self._observations.pauses.append(pause)
+        res = await self._answer(req)
+        signs = [("Served-By", f"{self.name}/{self.born}")]
+        if self.announces_leaving:
+            signs.append(("Server-Leaving", "1"))
+        return dataclasses.replace(res, headers=[*res.headers, *signs])
+
+    async def _answer(self, req: http_server.Request) -> http_server.Response:
         own_id = [("Request-Id", req.headers["request-id"])]
+        if self.pause_s:
+            pause = [("Not-Executed", "1"), ("Retry-After", f"{self.pause_s:.2f}")]
+            return http_server.Response(503, [*own_id, *pause])
         if req.headers.get("target-instance") != self.name:
             return http_server.Response(421, own_id)
         faulty = self._rng.random() < self.share
--- a/soak/caller.py
+++ b/soak/caller.py
@@ -18,7 +18,7 @@
 ) -> records.Result:
     """Sends one request and records its result; status 0 stands for a failed or late response."""
     loop = asyncio.get_running_loop()
-    result = observations.results[request_id] = records.Result(kind, path, loop.time())
+    result = observations.results[request_id] = records.Result(kind, path, loop.time(), vm=vm.name)
     try:
         async with asyncio.timeout(DEADLINE_S):
             reader, writer = await asyncio.open_connection(vm.host, fleet.HTTP_PORT)
@@ -33,6 +33,7 @@
         result.was_cut, result.ended_at = True, loop.time()
         return result
     result.status = res.status_code
+    _record_leaving(observations, result, dict(res.headers), loop.time())
     if 200 <= res.status_code < 300:
         signature = dict(res.headers).get(b"response-sig", b"").decode()
         result.is_correct = (
@@ -41,6 +42,15 @@
     return result
 
 
+def _record_leaving(
+    observations: records.Observations, result: records.Result, fields: dict, now: float
+) -> None:
+    """Records that a VM passed on a response whose server leaves."""
+    if fields.get(b"server-leaving") == b"1":
+        server, _, born = fields[b"served-by"].decode().partition("/")
+        observations.leaving_answers.setdefault((result.vm, server, int(born)), now)
+
+
 async def _send_request(
     reader: asyncio.StreamReader,
     writer: asyncio.StreamWriter,
--- a/soak/play.py
+++ b/soak/play.py
@@ -115,6 +115,10 @@
         """Suspends time bounds from the start of a fault until ``SETTLE_S`` after now."""
         self.observations.fault_windows.append((since, self.now + SETTLE_S))
 
+    def record_vm_fault(self, vm: fleet.FleetVm, start: float, end: float) -> None:
+        """Excuses a VM that has forgotten what servers told it, or could not act on it."""
+        self.observations.vm_faults.append((vm.name, start, end))
+
 
 def _route(prefix: str, kind: str, pool: str) -> dict:
     return {
@@ -203,10 +207,13 @@
 
 async def _signal_vms(env: Environment, signum: signal.Signals, count: int) -> None:
     since = env.now
-    for vm in env.rng.sample(env.vms, count):
+    signalled = env.rng.sample(env.vms, count)
+    for vm in signalled:
         vm.send(signum)
     await asyncio.sleep(1.5)
     env.record_fault_window(since)
+    for vm in signalled:
+        env.record_vm_fault(vm, since, env.now + GRACE_S)
 
 
 async def _kill(env: Environment) -> None:
@@ -228,6 +235,7 @@
     env.load.only_ready = False
     for vm in env.rng.sample(env.vms, SERIAL_STOPS):
         vm.send(signal.SIGTERM)
+        env.record_vm_fault(vm, env.now, env.now + GRACE_S)
         await asyncio.sleep(env.rng.uniform(0.5, 1.5))
     await asyncio.sleep(GRACE_S)
     env.load.only_ready = True
@@ -242,6 +250,7 @@
     await asyncio.sleep(env.rng.uniform(0.5, 4.0))
     vm.send(signal.SIGCONT)
     env.record_fault_window(since)
+    env.record_vm_fault(vm, since, env.now)
 
 
 async def _change_settings(env: Environment) -> None:
@@ -294,6 +303,42 @@
     server.stop()
 
 
+async def _leave_by_answers(env: Environment) -> None:
+    """A server says only in its responses that it leaves, and may start again under its id."""
+    server = env.rng.choice(env.servers)
+    server.announces_leaving = True
+    await asyncio.sleep(env.rng.uniform(3.0, 6.0))
+    if server not in env.servers:
+        return
+    env.servers.remove(server)
+    server.stop()
+    successor = backend.Backend(
+        env.rng.choice([server.name, f"{server.name}-next"]),
+        server.pool,
+        server.zone,
+        server.address,
+        env.observations,
+        born=server.born + 1,
+    )
+    if successor.name != server.name:
+        env.store.delete(f"servers/{server.name}")
+    await successor.start()
+    successor.register(env.store)
+    env.servers.append(successor)
+
+
+async def _pause(env: Environment) -> None:
+    """Some servers turn requests away and ask for a pause; at times all servers of a pool do."""
+    servers = env.rng.sample(env.servers, 2)
+    if env.rng.random() < 0.3:
+        servers = [server for server in env.servers if server.pool == servers[0].pool]
+    for server in servers:
+        server.pause_s = env.rng.uniform(0.6, 3.0)
+    await asyncio.sleep(env.rng.uniform(1.0, 4.0))
+    for server in servers:
+        server.pause_s = 0.0
+
+
 async def _add_route(env: Environment) -> None:
     env.configure(f"/extra{len(env.load.paths['safe'])}/")
 
@@ -356,6 +401,8 @@
     "store": _store_fault,
     "gray": _make_servers_gray,
     "leave": _replace_server,
+    "leave by answers": _leave_by_answers,
+    "pause": _pause,
     "route": _add_route,
     "spoil": _write_unreadable_record,
     "settings": _change_settings,
--- a/soak/records.py
+++ b/soak/records.py
@@ -14,6 +14,9 @@
 NOT_EXECUTED_STATUSES = frozenset([408, 421, 429, 503])
 DRAIN_DEADLINE_S = 2.0
 """A server must not get requests later than this after its record says that it drains."""
+PAUSE_SLACK_S = 0.5
+MAX_REQUESTS_IN_PAUSE = 2
+"""Requests of one VM that may reach a server from ``PAUSE_SLACK_S`` after it asked for a pause."""
 APPLY_DEADLINE_S = 2.0
 """All VMs must use a configuration within this time after the store acknowledged it."""
 
@@ -27,6 +30,24 @@
     path: str
 
 
+@dataclasses.dataclass
+class Arrival:
+    """One request that reached a server; ``born`` identifies the start of the server."""
+
+    server: str
+    born: int
+    at: float
+
+
+@dataclasses.dataclass
+class Pause:
+    """A server's answer that turned a request away and asked its VM to send nothing for a time."""
+
+    arrival: Arrival
+    request_id: str
+    duration_s: float
+
+
 @dataclasses.dataclass
 class Result:
     """Result of a caller's request; ``status`` 0 means a failed connection or a timeout."""
@@ -41,6 +62,7 @@
     """Whether the connection ended after the request was sent, without a complete response."""
     ended_at: float = 0.0
     """Time at which the connection ended, if ``was_cut``."""
+    vm: str = ""
 
 
 @dataclasses.dataclass
@@ -51,6 +73,14 @@
         default_factory=lambda: collections.defaultdict(list)
     )
     results: dict[str, Result] = dataclasses.field(default_factory=dict)
+    arrivals: dict[str, list[Arrival]] = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(list)
+    )
+    pauses: list[Pause] = dataclasses.field(default_factory=list)
+    leaving_answers: dict[tuple[str, str, int], float] = dataclasses.field(default_factory=dict)
+    """Time at which a VM first passed on that a server leaves, by VM, server and start."""
+    vm_faults: list[tuple[str, float, float]] = dataclasses.field(default_factory=list)
+    """VM, start and end of each fault after which a VM need not know what servers told it."""
     leaving_since: dict[str, float] = dataclasses.field(default_factory=dict)
     """Time at which the store acknowledged that a server drains, by server."""
     routes_added_at: dict[str, float] = dataclasses.field(default_factory=dict)
@@ -87,6 +117,8 @@
         lines.append(f"{request_id}: ran, but no caller sent it")
     lines += [f"{exit_}: process ended by itself" for exit_ in observations.own_exits]
     lines += _runs_after_drain(observations)
+    lines += _arrivals_after_leaving_answer(observations)
+    lines += _arrivals_in_pauses(observations)
     return lines
 
 
@@ -106,6 +138,57 @@
     return lines
 
 
+def _arrivals_after_leaving_answer(observations: Observations) -> list[str]:
+    lines = []
+    for request_id, arrivals in sorted(observations.arrivals.items()):
+        result = observations.results.get(request_id)
+        for arrival in arrivals if result else ():
+            key = (result.vm, arrival.server, arrival.born)
+            since = observations.leaving_answers.get(key)
+            if (
+                since is not None
+                and result.sent_at > since + DRAIN_DEADLINE_S
+                and not _has_vm_fault(observations, result.vm, since, arrival.at)
+            ):
+                lines.append(
+                    f"{request_id}: reached {arrival.server} from {result.vm}, sent "
+                    f"{result.sent_at - since:.1f} s after its leaving answer"
+                )
+    return lines
+
+
+def _arrivals_in_pauses(observations: Observations) -> list[str]:
+    lines = []
+    for pause in observations.pauses:
+        vm, start = _vm_of(observations, pause.request_id), pause.arrival.at
+        end = start + pause.duration_s
+        reached = [
+            request_id
+            for request_id, arrivals in sorted(observations.arrivals.items())
+            for arrival in arrivals
+            if (arrival.server, arrival.born) == (pause.arrival.server, pause.arrival.born)
+            and start + PAUSE_SLACK_S < arrival.at < end
+            and _vm_of(observations, request_id) == vm
+        ]
+        if len(reached) > MAX_REQUESTS_IN_PAUSE and not _has_vm_fault(observations, vm, start, end):
+            lines.append(
+                f"{pause.arrival.server}: {len(reached)} requests from {vm} in a pause: {reached}"
+            )
+    return lines
+
+
+def _vm_of(observations: Observations, request_id: str) -> str | None:
+    result = observations.results.get(request_id)
+    return result.vm if result else None
+
+
+def _has_vm_fault(observations: Observations, vm: str | None, start: float, end: float) -> bool:
+    return any(
+        name == vm and fault_start <= end and fault_end >= start
+        for name, fault_start, fault_end in observations.vm_faults
+    )
+
+
 def _is_wrong_404(observations: Observations, result: Result) -> bool:
     added_at = observations.routes_added_at.get(result.path.rpartition("/")[0] + "/")
     if result.status != 404 or added_at is None or result.sent_at < added_at + APPLY_DEADLINE_S:
--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -22,7 +22,7 @@
         super().__init__([])
         self.timed_steps, self.cancelled = list(steps), []
 
-    async def send(self, server, req, remaining_s, reuse=True):
+    async def send(self, server, req, remaining_s, reuse=True, may_send=None):
         self.sent.append((server.id, remaining_s))
         seconds, name = self.timed_steps.pop(0)
         try:
@@ -41,7 +41,7 @@
     slots, servers = slots or test_relay.Slots(), SlowServers(steps)
 
     async def scenario():
-        subject = relay.Relay(slots, test_relay.instance, servers)
+        subject = relay.Relay(slots, relay.Fleet(test_relay.instance), servers)
         config = test_relay.configuration(idempotent=idempotent, attempts=attempts)
         route = msgspec.structs.replace(config.routes[0], objective_s=0.2, timeout_s=0.6)
         subject.configure(msgspec.structs.replace(config, routes=(route,)))
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -56,7 +56,7 @@
     def connected(self, pool, idempotent):
         return ("i-7",)
 
-    async def send(self, server, req, remaining_s, reuse=True):
+    async def send(self, server, req, remaining_s, reuse=True, may_send=None):
         self.sent.append((server.id, remaining_s))
         self.reuse.append(reuse)
         step = self.steps.pop(0) if self.steps else STEPS["answer"]
@@ -95,7 +95,7 @@
     slots, servers = slots or Slots(), Servers([STEPS[step] for step in steps])
 
     async def scenario():
-        subject = relay.Relay(slots, instance, servers)
+        subject = relay.Relay(slots, relay.Fleet(instance), servers)
         subject.configure(configuration(**config))
         call = make_call(path, deadline, arrived=asyncio.get_running_loop().time())
         try:
@@ -189,7 +189,7 @@
     assert handle([], path="/y/")[0].status == 404
 
     async def scenario():
-        subject = relay.Relay(Slots(), instance, Servers([]))
+        subject = relay.Relay(Slots(), relay.Fleet(instance), Servers([]))
         with pytest.raises(errors.NoConfigurationError):
             await subject.handle(make_call())
 
@@ -213,7 +213,7 @@
         return msgspec.structs.replace(instance(server), pool=slots.all_requirements[-1].pool)
 
     async def scenario():
-        subject = relay.Relay(slots, instance_of_requested_pool, Servers([]), seed=1)
+        subject = relay.Relay(slots, relay.Fleet(instance_of_requested_pool), Servers([]), seed=1)
         subject.configure(configuration(weighted_pools=weighted_pools))
         for _ in range(1000):
             await subject.handle(make_call(arrived=asyncio.get_running_loop().time()))
@@ -229,7 +229,7 @@
     other = lambda server: msgspec.structs.replace(instance(server), pool="other")  # noqa: E731
 
     async def scenario():
-        subject = relay.Relay(slots, other, servers)
+        subject = relay.Relay(slots, relay.Fleet(other), servers)
         subject.configure(configuration())
         with pytest.raises(errors.OverloadedError):
             await subject.handle(make_call(arrived=asyncio.get_running_loop().time()))
@@ -244,14 +244,14 @@
     call, slots = make_call(arrived=1e9), Slots()
 
     class Disconnecting(Servers):
-        async def send(self, server, req, remaining_s, reuse):
+        async def send(self, server, req, remaining_s, reuse, may_send):
             call.disconnected = True
             return await super().send(server, req, remaining_s)
 
     servers = Disconnecting([STEPS["not run"], STEPS["answer"]])
 
     async def scenario():
-        subject = relay.Relay(slots, instance, servers)
+        subject = relay.Relay(slots, relay.Fleet(instance), servers)
         subject.configure(configuration())
         with pytest.raises(errors.OverloadedError):
             await subject.handle(call)
@@ -268,11 +268,11 @@
         def connected(self, pool, idempotent):
             return ()
 
-        async def send(self, server, req, remaining_s, reuse):
+        async def send(self, server, req, remaining_s, reuse, may_send):
             await asyncio.Event().wait()
 
     async def scenario():
-        subject = relay.Relay(slots, instance, Silent())
+        subject = relay.Relay(slots, relay.Fleet(instance), Silent())
         subject.configure(configuration(idempotent=True))
         task = asyncio.ensure_future(subject.handle(make_call(arrived=1e9)))
         for _ in range(3):
--- a/tests/test_slot_owner.py
+++ b/tests/test_slot_owner.py
@@ -239,12 +239,30 @@
         self.now, self.calls, self.rng = 100.0, {}, random.Random(1)
         self.owner = Owner(burst=5.0)
         self.names = ["i-1", "i-2"]
+        self.excluded = {}
 
-    @stateful.rule(wait=st.booleans(), is_retry=st.booleans(), remaining_s=st.floats(0.1, 3.0))
-    def request(self, wait, is_retry, remaining_s):
+    @stateful.rule(
+        wait=st.booleans(),
+        is_retry=st.booleans(),
+        remaining_s=st.floats(0.1, 3.0),
+        excluded=st.sets(st.sampled_from(["i-1", "i-2"])),
+    )
+    def request(self, wait, is_retry, remaining_s, excluded):
         call_id = len(self.calls) + 1
         self.calls[call_id] = self.now + remaining_s
-        self.owner.ask(call_id, self.now, wait=wait, is_retry=is_retry, remaining_s=remaining_s)
+        self.excluded[call_id] = excluded
+        self.owner.ask(
+            call_id,
+            self.now,
+            wait=wait,
+            is_retry=is_retry,
+            remaining_s=remaining_s,
+            excluded=tuple(excluded),
+        )
+
+    @stateful.rule(name=st.sampled_from(["i-1", "i-2"]))
+    def leave(self, name):
+        self.owner.core.mark_leaving(name, 0, self.now)
 
     @stateful.precondition(lambda self: self.calls)
     @stateful.rule(data=st.data(), result=st.sampled_from(list(RESULT)))
@@ -274,6 +292,12 @@
             for server in snapshot.servers:
                 assert server.in_flight <= SLOTS
 
+    @stateful.invariant()
+    def no_excluded_server_is_granted(self):
+        for _, reply in self.owner.replies:
+            if granted(reply):
+                assert reply.server not in self.excluded[reply.call_id]
+
     @stateful.invariant()
     def no_call_outlives_its_deadline(self):
         if not self.calls or self.now > max(self.calls.values()) + slot_owner.GRANT_SLACK_S + 1.1:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -89,6 +89,44 @@
     assert len(records.violations(observations)) == expected
 
 
+def observe_arrivals(*sent_at, vm="vm-1", born=0):
+    """Returns observations of requests that reached server i-0 when they were sent."""
+    observations = records.Observations()
+    for number, at in enumerate(sent_at):
+        observations.results[f"a{number}"] = records.Result("safe", "/stock/1", at, vm=vm)
+        observations.arrivals[f"a{number}"].append(records.Arrival("i-0", born, at))
+    return observations
+
+
+@pytest.mark.parametrize(
+    ("vm", "born", "faults", "expected"),
+    [
+        ("vm-1", 0, [], 1),
+        ("vm-2", 0, [], 0),
+        ("vm-1", 5, [], 0),
+        ("vm-1", 0, [("vm-1", 11.0, 11.5)], 0),
+        ("vm-1", 0, [("vm-2", 11.0, 11.5)], 1),
+    ],
+)
+def test_request_to_a_server_that_said_it_leaves_is_reported(vm, born, faults, expected):
+    """Guards against requests after a leaving answer, except from a VM that has forgotten it."""
+    observations = observe_arrivals(11.9, 12.1, vm=vm, born=born)
+    observations.leaving_answers["vm-1", "i-0", 0] = 10.0
+    observations.vm_faults = faults
+    assert len(records.violations(observations)) == expected
+
+
+@pytest.mark.parametrize(("late", "expected"), [((10.6, 11.9), 0), ((10.6, 11.0, 11.9), 1)])
+def test_requests_in_a_pause_are_reported(late, expected):
+    """Guards against more than two requests to a server that asked for a pause."""
+    observations = observe_arrivals(10.0, 10.4, *late, 12.1)
+    arrival = observations.arrivals["a0"][0]
+    observations.pauses = [records.Pause(arrival, "a0", 2.0)]
+    assert len(records.violations(observations)) == expected
+    observations.vm_faults = [("vm-1", 10.0, 10.1)]
+    assert records.violations(observations) == []
+
+
 def test_process_that_ends_by_itself_is_reported():
     """Guards against a soak that passes although one message takes a whole process down."""
     observations = records.Observations(own_exits=["vm-1 (exit code 1)"])
--- a/tests/test_walks.py
+++ b/tests/test_walks.py
@@ -18,7 +18,7 @@
 
     async def scenario():
         slots = test_relay.Slots(grants)
-        subject = relay.Relay(slots, test_relay.instance, servers)
+        subject = relay.Relay(slots, relay.Fleet(test_relay.instance), servers)
         subject.configure(test_relay.configuration(**config))
         call = test_relay.make_call(arrived=asyncio.get_running_loop().time())
         return await gateway.call_handler(subject.handle, call)
