Split the registration and the propagation of records from node

Registration holds the VM's record and its lease, Propagation the messages by which VMs pass records on. Both share the generator of the VM, as before.

--- a/dotterelfront/node.py
+++ b/dotterelfront/node.py
@@ -30,9 +30,9 @@
     mesh,
     models,
     node_metrics,
-    notices,
+    propagation,
     read_budget,
-    record_patches,
+    registration,
     relay,
     rollout,
     shutdown,
@@ -41,7 +41,6 @@
     supervisor,
     upstream,
     watch_role,
-    zone_push,
 )
 from dotterelfront.platform import boot, records, store, wire
 
@@ -54,23 +53,6 @@
 SEED_PULL_INTERVAL_S = 1.0
 """Interval of pulls from seed VMs until this VM has a complete copy of the records. Listing the
 records in the store takes less than this while the store is healthy."""
-PING_INTERVAL_S = 1.0
-"""Interval of pings to unresponsive VMs and, from a watcher, to VMs of other zones."""
-PING_PEERS = 2
-"""VMs of other zones to which a watcher sends its revision each second."""
-LEASE_S = 15.0
-LEASE_RENEWAL_S = 5.0
-"""The lease of the VM's record lasts for three renewal intervals. Failed calls reveal a stopped VM
-sooner."""
-WATCHER_RENEWAL_S = 0.5
-"""Renewal interval of a watcher. A pending watch does not reveal that the store is failing, but a
-failed or late renewal does."""
-WATCHER_RENEWAL_TIMEOUT_S = 0.8
-"""A renewal takes 4 ms, and 0.4 s on a store that is a hundred times slower."""
-LATE_RENEWAL_S = 0.4
-"""Time without a response to its renewal after which a watcher lets other VMs take over. A change
-must be in force two seconds after the store accepted it, also if all watchers have lost the store.
-"""
 RECORD_TASK = "renew-record"
 SETTINGS_CHECK_INTERVAL_S = 5.0
 """Interval of checks for a changed settings file. The file changes rarely, and a check costs one
@@ -111,14 +93,34 @@
             self._client,
             self._store_state,
             self._role,
-            follow.Callbacks(self._on_changed, self._request_push, self._on_watch_started),
+            follow.Callbacks(
+                self._on_changed,
+                lambda after: self._propagation.request_push(after),
+                lambda: self._registration.request_renewal(),
+            ),
             self._first_copy.list_due,
             records.compact,
             follow.watch_wait_s(cfg.bounds.apply_s),
             seed=incarnation,
         )
         self._mesh = mesh.Mesh(cfg.vm.address, self._on_message)
-        self._zone_push = zone_push.ZonePush(self._build_push, self._send_to_zone)
+        self._leaving = asyncio.Event()
+        self._propagation = propagation.Propagation(
+            self._view,
+            propagation.Sources(self._follower, self._store_state, self._role, self._first_copy),
+            self._mesh,
+            self._leaving.is_set,
+            self._rng,
+        )
+        self._registration = registration.Registration(
+            self._client,
+            self._store_state,
+            self._role,
+            registration.Callbacks(
+                self._may_register, self._view.record, self._propagation.ping_zone
+            ),
+            self._rng,
+        )
         self._owner = slot_owner.SlotOwner(
             self._retry_limits(), self._send, self._view.is_first_owner, seed=incarnation
         )
@@ -140,14 +142,9 @@
         )
         self._metrics_gateway = gateway.Gateway(self._answer_scrape)
         self._readiness_gateway = gateway.Gateway(self._answer_readiness)
-        self._leaving = asyncio.Event()
         self._owner_busy = asyncio.Event()
         self._lags: collections.deque[float] = collections.deque([0.0], maxlen=LAG_SAMPLES)
         """Delays of the latest sweeps in seconds."""
-        self._lease: int | None = None
-        self._renewal_requested = asyncio.Event()
-        self._encoded_copy: tuple[int, bytes] | None = None
-        """Revision and bytes of the last whole copy that was sent."""
         self._supervisor = supervisor.Supervisor(self._leaving.set)
 
     async def run(self) -> None:
@@ -164,13 +161,13 @@
         for name, task_fn in (
             ("mesh", self._mesh.run),
             ("follower", self._follower.run),
-            ("zone-push", self._zone_push.run),
+            ("zone-push", self._propagation.zone_push.run),
             ("seeds", self._pull_from_seeds),
             ("tick", self._tick),
             ("sweep", self._sweep),
-            ("announce-watch", self._announce_watch),
-            ("ping-peers", self._ping_peers),
-            (RECORD_TASK, self._renew_record),
+            ("announce-watch", self._propagation.announce_watch),
+            ("ping-peers", self._propagation.ping_peers),
+            (RECORD_TASK, self._registration.run),
             ("settings", self._check_settings),
         ):
             self._supervisor.start(name, task_fn)
@@ -272,132 +269,18 @@
                 self._settings_version = current
                 self._reload()
 
-    async def _announce_watch(self) -> None:
-        """Pings the zone while this VM watches the store, and once more when it stops watching."""
-        announced = False
-        while True:
-            await asyncio.sleep(watch_role.HEARTBEAT_INTERVAL_S)
-            watches = self._watches()
-            if watches or announced:
-                self._ping_zone()
-            announced = watches
-
-    def _ping_zone(self) -> None:
-        # VMs pull the revision that a ping announces, unless they have it.
-        message = self._ping_message(reply_requested=False, revision=self._zone_push.missing_after)
-        for vm in self._zone_peers():
-            self._send(vm.address, message)
-
-    async def _ping_peers(self) -> None:
-        """Pings suspected VMs; a watcher also sends its revision to other zones."""
-        while True:
-            await asyncio.sleep(PING_INTERVAL_S * self._rng.uniform(0.8, 1.2))
-            now = self._loop.time()
-            self._view.members.tick(now)
-            for vm in self._view.members.suspects(now):
-                self._send(vm.address, self._ping_message(reply_requested=True))
-            if self._watches():
-                self._ping_other_zones()
-
-    def _watches(self) -> bool:
-        """Whether this VM watches the store, and its calls to the store succeed."""
-        return (
-            self._follower.is_complete
-            and self._store_state.reachable
-            and self._store_state.confirmed
-            and self._role.should_watch(self._loop.time())
-        )
-
-    def _zone_peers(self) -> list[models.Vm]:
-        own = self._cfg.vm
-        return [vm for vm in self._view.members.listed() if vm.zone == own.zone and vm.id != own.id]
-
-    def _ping_other_zones(self) -> None:
-        others = [vm for vm in self._view.members.listed() if vm.zone != self._cfg.zone]
-        for vm in self._rng.sample(others, min(PING_PEERS, len(others))):
-            self._send(vm.address, self._ping_message(reply_requested=False))
-
-    async def _renew_record(self) -> None:
-        """Renews the lease of the VM's record; a watcher also probes the store's health by it."""
-        # The key of an earlier process of this VM is known only from the copy of the records.
-        while not self._follower.is_complete and not self._cfg.first_start:
-            await asyncio.sleep(TICK_S)
-        key, value = self._view.record()
-        written_under: int | None = None
-        while True:
-            self._renewal_requested.clear()
-            started = self._loop.time()
-            watches = self._role.should_watch(started)
-            try:
-                if self._lease is None:
-                    self._lease = await self._client.lease(LEASE_S)
-                if written_under != self._lease:
-                    await self._client.put(key, value, self._lease)
-                    written_under = self._lease
-                elif not await self._renew_lease(watches):
-                    self._lease = None
-                    continue
-                if watches:
-                    self._on_store_answered()
-            except errors.StoreRefusedError as exc:
-                # The lease has ended before the record was written under it.
-                self._lease = None
-                logs.event("record not written", level="WARNING", error=str(exc))
-            except errors.StoreError as exc:
-                if watches:
-                    self._store_state.failed(self._loop.time(), since=started)
-                    self._ping_zone()
-                logs.event("record not renewed", level="DEBUG", error=str(exc))
-            interval_s = WATCHER_RENEWAL_S if watches else LEASE_RENEWAL_S
-            await self._wait_for_renewal(interval_s * self._rng.uniform(0.9, 1.1))
-
-    async def _renew_lease(self, watches: bool) -> bool:
-        """Renews the lease; a watcher without a quick response lets other VMs take over."""
-        timeout_s = WATCHER_RENEWAL_TIMEOUT_S if watches else store.CALL_TIMEOUT_S
-        call = asyncio.ensure_future(self._client.renew_lease(self._lease, timeout_s))
-        try:
-            await asyncio.wait([call], timeout=LATE_RENEWAL_S)
-            if watches and not call.done():
-                self._store_state.on_late()
-                self._ping_zone()
-            return await call
-        finally:
-            call.cancel()
-
-    async def _wait_for_renewal(self, interval_s: float) -> None:
-        """Waits until the next renewal is due or requested."""
-        try:
-            async with asyncio.timeout(interval_s):
-                await self._renewal_requested.wait()
-        except TimeoutError:
-            return
+    # Records
 
-    def _on_store_answered(self) -> None:
-        """Announces a watcher as soon as the store has answered it."""
-        is_news = not self._store_state.confirmed
-        self._store_state.succeeded(self._loop.time())
-        if is_news:
-            self._ping_zone()
+    def _may_register(self) -> bool:
+        """Whether the VM's record may be written.
 
-    def _on_watch_started(self) -> None:
-        """Checks at once that the store answers; only then does the VM announce that it watches."""
-        self._renewal_requested.set()
+        The key of an earlier process of this VM is known only from the copy of the records.
+        """
+        return self._follower.is_complete or self._cfg.first_start
 
     async def _delete_record(self) -> None:
-        """Deletes the VM's record.
-
-        The renewal is stopped first. A write of it that is still on its way names the lease, so it
-        has no effect once the lease is revoked.
-        """
         await self._supervisor.stop(RECORD_TASK)
-        lease, self._lease = self._lease, None
-        try:
-            if lease is not None:
-                await self._client.revoke_lease(lease)
-        except errors.StoreError as exc:
-            logs.event("record not deleted", level="WARNING", error=str(exc))
-
-    # Record changes
+        await self._registration.withdraw()
 
     def _on_changed(self, keys: set[str]) -> None:
         local_copy, now = self._follower.local_copy, self._loop.time()
@@ -413,8 +296,8 @@
             urgent |= report.withdrawn
         if any(key.startswith(fleet_view.VMS_PREFIX) for key in keys):
             self._view.on_vms(local_copy.items(fleet_view.VMS_PREFIX), trusted, now)
-        if urgent and self._watches():
-            self._notify_zones()
+        if urgent and self._propagation.watches():
+            self._propagation.notify_zones()
 
     def _on_config(self, raw: bytes | None, now: float) -> bool:
         newer = self._view.on_config(raw, now)
@@ -423,35 +306,6 @@
             logs.event("configuration in force", revision=self._view.config.revision)
         return newer
 
-    def _notify_zones(self) -> None:
-        """Notifies other zones of a change, in case the store rejects all their watchers."""
-        notice = fleet_messages.Notice(self._cfg.vm.address, self._follower.local_copy.revision)
-        for vm in notices.receivers(self._view.members.listed(), self._cfg.vm.zone, self._rng):
-            self._send(vm.address, notice)
-
-    def _request_push(self, after: int) -> None:
-        """Pushes the changes after a revision, from outside the zone, to the VMs of the zone."""
-        self._zone_push.request(after)
-
-    def _build_push(self, after: int) -> fleet_messages.Message | None:
-        changes = self._follower.local_copy.since(after)
-        return None if changes is None else self._push_message(after, changes)
-
-    def _push_message(
-        self, after: int, changes: fleetmodel.Changes, forward_to_zone: bool = False
-    ) -> fleet_messages.Message:
-        changes, patches = self._follower.local_copy.split_patches(after, changes)
-        if not patches:
-            return fleet_messages.Push(after, changes, forward_to_zone)
-        reply_to = self._cfg.vm.address
-        return fleet_messages.PatchPush(reply_to, after, changes, patches, forward_to_zone)
-
-    def _send_to_zone(self, raw: bytes, kind: type) -> int:
-        peers = self._zone_peers()
-        for vm in peers:
-            self._mesh.send_encoded(vm.address, raw, kind)
-        return len(peers)
-
     def _set_servers(self, pools) -> None:
         now = self._loop.time()
         for pool in sorted(pools):
@@ -487,7 +341,7 @@
             return
         self._view.members.on_call_failed(vm.id, self._loop.time(), not_sent=True)
         self._mesh.reset(vm.address)
-        self._send(vm.address, self._ping_message(reply_requested=True))
+        self._propagation.ping(vm)
 
     def _on_message(self, message: fleet_messages.AnyMessage) -> None:
         _HANDLERS[type(message)](self, message)
@@ -505,98 +359,8 @@
     def _on_leaving_hint(self, message: fleet_messages.ServerLeaving) -> None:
         self._owner.mark_leaving(message.server, message.started_ms, self._loop.time())
 
-    def _on_ping(self, message: fleet_messages.Ping) -> None:
-        now = self._loop.time()
-        self._view.members.on_reached(message.sender, message.incarnation, message.leaving, now)
-        if message.reply_requested:
-            self._send(message.reply_to, self._ping_message(reply_requested=False))
-        if message.zone == self._cfg.zone:
-            self._on_zone_ping(message, now)
-        offers_more = self._follower.should_pull(message.revision, message.zone == self._cfg.zone)
-        if offers_more and (self._follower.is_complete or self._first_copy.may_pull(now)):
-            self._pull(message.reply_to)
-
-    def _on_zone_ping(self, message: fleet_messages.Ping, now: float) -> None:
-        if message.store_available_s is None:
-            self._role.on_watch_ended(message.sender)
-            return
-        self._role.on_heartbeat(message.sender, now)
-        watches = self._role.should_watch(now)
-        self._store_state.on_report(message.sender, message.store_available_s, watches, now)
-
-    def _on_notice(self, message: fleet_messages.Notice) -> None:
-        if message.revision > self._follower.local_copy.revision:
-            self._loop.call_later(notices.pull_delay_s(self._rng), self._pull_if_behind, message)
-
-    def _pull_if_behind(self, notice: fleet_messages.Notice) -> None:
-        revision = self._follower.local_copy.revision
-        if notice.revision > revision:
-            logs.event("pulling from another zone", revision=revision, wanted=notice.revision)
-            self._pull(notice.reply_to, forward_to_zone=True)
-
-    def _pull(
-        self, address: str, forward_to_zone: bool = False, accepts_patches: bool = True
-    ) -> None:
-        revision = self._follower.local_copy.revision
-        own = self._cfg.vm.address
-        self._send(address, fleet_messages.Pull(own, revision, forward_to_zone, accepts_patches))
-
-    def _on_pull(self, message: fleet_messages.Pull) -> None:
-        found = self._follower.changes_for(message.after)
-        if found is None:
-            return
-        after, changes = found
-        if after and message.accepts_patches:
-            push = self._push_message(after, changes, message.forward_to_zone)
-        else:
-            push = fleet_messages.Push(after, changes, message.forward_to_zone)
-        if after or message.forward_to_zone:
-            self._send(message.reply_to, push)
-        else:
-            self._send_whole_copy(message.reply_to, push)
-
-    def _send_whole_copy(self, address: str, push: fleet_messages.Push) -> None:
-        """Sends a copy that is encoded once for all VMs that pull the same revision."""
-        revision = push.changes.revision
-        if self._encoded_copy is None or self._encoded_copy[0] != revision:
-            self._encoded_copy = (revision, fleet_messages.encode(push))
-        self._mesh.send_encoded(address, self._encoded_copy[1], fleet_messages.Push)
-
-    def _on_push(self, message: fleet_messages.Push) -> None:
-        self._apply_push(message, ())
-
-    def _on_patch_push(self, message: fleet_messages.PatchPush) -> None:
-        try:
-            self._apply_push(message, message.patches)
-        except errors.BaseVersionError as exc:
-            logs.event("patch not applied", level="DEBUG", error=str(exc))
-            self._pull(message.reply_to, message.forward_to_zone, accepts_patches=False)
-
-    def _apply_push(
-        self,
-        message: fleet_messages.Push | fleet_messages.PatchPush,
-        patches: tuple[record_patches.Patch, ...],
-    ) -> None:
-        if not self._follower.apply_changes(message.after, message.changes, patches):
-            logs.event("changes out of order", level="DEBUG", after=message.after)
-        elif message.forward_to_zone:
-            self._request_push(message.after)
-
-    def _ping_message(
-        self, reply_requested: bool, revision: int | None = None
-    ) -> fleet_messages.Ping:
-        """Returns a ping that announces ``revision``, or that of the own copy."""
-        now = self._loop.time()
-        return fleet_messages.Ping(
-            sender=self._cfg.vm.id,
-            reply_to=self._cfg.vm.address,
-            zone=self._cfg.vm.zone,
-            incarnation=self._view.incarnation,
-            leaving=self._leaving.is_set(),
-            revision=self._follower.local_copy.revision if revision is None else revision,
-            store_available_s=self._store_state.own_available_s(now) if self._watches() else None,
-            reply_requested=reply_requested,
-        )
+    def _on_record_message(self, message: fleet_messages.AnyMessage) -> None:
+        self._propagation.on_message(message)
 
     # Callers
 
@@ -687,7 +451,7 @@
             "configuration-revision": config.revision if config else 0,
             "configuration-age-seconds": self._rollout_state().age_s,
             "records-revision": self._follower.local_copy.revision,
-            "watching": int(self._watches()),
+            "watching": int(self._propagation.watches()),
             "store-well-seconds": self._store_state.own_available_s(self._loop.time()) or 0.0,
             "connections": len(self._gateway.connections),
             "buffered-response-bytes": self._budget.used_bytes,
@@ -701,13 +465,8 @@
     fleet_messages.SlotWaiting: Node._on_slot_reply,
     fleet_messages.SlotGrant: Node._on_slot_reply,
     fleet_messages.SlotRefusal: Node._on_slot_reply,
-    fleet_messages.Ping: Node._on_ping,
-    fleet_messages.Notice: Node._on_notice,
-    fleet_messages.Pull: Node._on_pull,
-    fleet_messages.Push: Node._on_push,
-    fleet_messages.PatchPush: Node._on_patch_push,
     fleet_messages.ServerLeaving: Node._on_leaving_hint,
-}
+} | dict.fromkeys(propagation.MESSAGES, Node._on_record_message)
 
 
 def _file_version(path: str) -> FileVersion:
