Mend three faults found by reading the change

- A wait for a slot that expires in the turn in which the shutdown limits all waits raised RuntimeError, which ended the shutdown before its requests were answered.
The test fails without the check.
- A 421 comes from another server at the address; its signals no longer count for the intended one.
The test fails without the check.
- A store that cuts a single watch made the watcher count as doubtful until its next renewal, up to 0.55 s later, and other VMs took over.
A failed watch now asks for a renewal at once.

Evidence: tests of each, the first two failed before.

--- a/dotterelfront/follow.py
+++ b/dotterelfront/follow.py
@@ -132,13 +132,14 @@
     """Callbacks of a follower.
 
     ``on_changed`` gets the keys that changed. ``on_watched`` gets a revision after which changes
-    came from the store, to push them to other VMs; it must not wait. ``on_watch_started`` is called
-    when the VM starts to watch.
+    came from the store, to push them to other VMs; it must not wait. ``check_store`` is called when
+    the VM starts to watch, and when a call of it fails; it asks for a call that tells at once
+    whether the store answers.
     """
 
     on_changed: Callable[[set[str]], None]
     on_watched: Callable[[int], None]
-    on_watch_started: Callable[[], None]
+    check_store: Callable[[], None]
 
 
 class StoreFollower:
@@ -183,6 +184,8 @@
                 logs.event("store history lost", revision=self.local_copy.revision)
             except errors.StoreError as exc:
                 self._state.failed(_now())
+                if self._watching:
+                    self._callbacks.check_store()
                 logs.event("store call failed", level="DEBUG", error=str(exc))
                 await asyncio.sleep(delay_s * self._rng.uniform(0.5, 1.0))
                 delay_s = min(BACKOFF_MAX_S, 2 * delay_s)
@@ -261,7 +264,7 @@
                 revision=self.local_copy.revision,
             )
             if watching:
-                self._callbacks.on_watch_started()
+                self._callbacks.check_store()
 
     async def _list(self) -> None:
         """Lists all records; a watcher that lost the store's history pushes what it missed."""
--- a/dotterelfront/relay.py
+++ b/dotterelfront/relay.py
@@ -351,6 +351,9 @@
         self, server: fleetmodel.Instance, req: upstream.UpstreamRequest, res: exchange.Response
     ) -> None:
         """Records what a response says about further requests to its server."""
+        if res.status == wire.MISDIRECTED:
+            # Another server has answered at this address.
+            return
         if wire.announces_leaving(res.fields) and self.signals.on_leaving(server):
             logs.event("server leaves", request=req.request_id, server=server.id)
             self._fleet.on_leaving(server)
--- a/dotterelfront/slot_client.py
+++ b/dotterelfront/slot_client.py
@@ -130,7 +130,8 @@
         """Ends all waits for a slot at a time, present and future ones; used in a shutdown."""
         self._waits_end_at = at
         for wait in self._waits:
-            wait.reschedule(min(at, wait.when()))
+            if not wait.expired():
+                wait.reschedule(min(at, wait.when()))
 
     async def acquire(self, requirements: SlotRequirements) -> SlotLease:
         """Returns a slot; raises ``errors.OverloadedError`` with a retry delay."""
--- a/tests/test_follow.py
+++ b/tests/test_follow.py
@@ -47,9 +47,13 @@
         self.state = follow.StoreState(now)
         self.role = watch_role.WatchRole("vm-1", now - 100.0 if watches else now + 100.0)
         self.changed, self.pushed = [], []
-        callbacks = follow.Callbacks(self.changed.append, self.pushed.append, lambda: None)
+        self.checks = 0
+        callbacks = follow.Callbacks(self.changed.append, self.pushed.append, self.check_store)
         self.follower = follow.StoreFollower(self.client, self.state, self.role, callbacks)
 
+    def check_store(self):
+        self.checks += 1
+
     async def run(self):
         task = asyncio.ensure_future(self.follower.run())
         for _ in range(60):
@@ -137,6 +141,16 @@
     assert harness.client.calls == ["list", "watch 5", "watch 5", "watch 6"]
 
 
+def test_start_and_failure_of_a_watch_ask_for_a_check_of_the_store(monkeypatch):
+    """Guards against a watcher that its zone gives up because the store cut one watch."""
+    harness = run(monkeypatch, changes(5, "a"), changes(6, "b"))
+    assert harness.checks == 1
+    harness = run(monkeypatch, changes(5, "a"), errors.StoreUnavailableError("cut"))
+    assert harness.checks == 2
+    harness = run(monkeypatch, errors.StoreUnavailableError("cut"), changes(5, "a"), watches=False)
+    assert harness.checks == 0
+
+
 def test_store_is_unavailable_only_after_failures_for_a_while():
     """Guards against one broken watch that counts as an outage."""
     state = follow.StoreState(0.0)
--- a/tests/test_server_signals.py
+++ b/tests/test_server_signals.py
@@ -201,6 +201,19 @@
     assert fleet.hints == ["i-1", "i-1"]
 
 
+def test_signals_of_another_server_at_the_address_do_not_count():
+    """Guards against a server out of use because its address was given to one that leaves."""
+
+    async def scenario():
+        fleet = Fleet(names=("i-1",))
+        fleet.extra["i-1"] = (421, (("Not-Executed", "1"), ("Server-Leaving", "1")))
+        await fleet.ask()
+        fleet.extra.clear()
+        return await fleet.ask()
+
+    assert virtual_time.run(scenario()).status == 200
+
+
 def test_signal_during_the_connect_withholds_the_request():
     """Guards against a bound that is checked before a slow connect, and not before the send."""
 
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -71,6 +71,29 @@
     assert owner.released > 0
 
 
+def test_a_wait_that_ends_at_the_same_moment_does_not_break_the_shutdown():
+    """Guards against a shutdown that an expiring wait interrupts before requests are answered."""
+
+    async def scenario():
+        owner = QueueingOwner()
+        waiting = asyncio.ensure_future(owner.acquire(4.0))
+        loop = asyncio.get_running_loop()
+        ended = loop.create_future()
+
+        def end_waits():
+            owner.client.end_waits(5.0)
+            ended.set_result(None)
+
+        await asyncio.sleep(1.0)
+        # Runs in the same turn of the loop as the timer of the wait, and after it.
+        loop.call_at(4.0 + 1e-10, end_waits)
+        await ended
+        return await waiting
+
+    time, exc = virtual_time.run(scenario())
+    assert (time, exc.retry_after_s) == (pytest.approx(4.0, abs=0.01), 0.5)
+
+
 def _lengthen_timeouts(env):
     """Writes a configuration whose requests may wait longer than a shutdown takes."""
     config = json.loads(base64.b64decode(env.store.items["op/config"]["value"]))
