--- a/bench/copies.py
+++ b/bench/copies.py
@@ -8,7 +8,8 @@
 
 ``all_s`` is the time in which all VMs that restart at one moment read a listing each over the
 store's link, and ``zone_s`` the time in which one watcher sends its copy to all VMs of its zone
-over the link of a small VM.
+over the link of a small VM. ``change_bytes`` is the size of a push that moves one route;
+``change_make_ms`` and ``change_apply_ms`` are the times to make and to apply its patch.
 """
 
 import base64
@@ -21,7 +22,7 @@
 import msgspec
 import typer
 
-from dotterelfront import fleet_messages, fleet_view, fleetmodel, models
+from dotterelfront import fleet_messages, fleet_view, fleetmodel, models, replica
 from dotterelfront.platform import records
 
 SERVERS_PER_VM = 10
@@ -105,6 +106,34 @@
     return round(min(times) * 1000, 1)
 
 
+def _moved_route(record: fleetmodel.Record) -> fleetmodel.Record:
+    """Returns the next version of a configuration, in which one route goes to another pool."""
+    config = msgspec.json.decode(record.value)
+    pools = sorted(config["services"])
+    routes = config["routes"]
+    route = routes[sorted(routes)[len(routes) // 2]]
+    route["service"] = pools[pools.index(route["service"]) - 1]
+    config["version"] = "r13"
+    return fleetmodel.Record(record.key, record.revision + 1, msgspec.json.encode(config))
+
+
+def measure_change(config: fleetmodel.Record) -> dict[str, float]:
+    """Returns size and CPU time of a push that moves one route."""
+    source, target = replica.Replica(), replica.Replica()
+    for copy in (source, target):
+        copy.merge(fleetmodel.Changes((config,), config.revision), 0.0)
+    moved = _moved_route(config)
+    source.merge(fleetmodel.Changes((moved,), moved.revision), 0.0)
+    changes = source.since(config.revision)
+    others, patches = source.split_patches(config.revision, changes)
+    push = fleet_messages.PatchPush("10.0.0.1:7620", config.revision, others, patches)
+    return {
+        "change_bytes": len(fleet_messages.encode(push)),
+        "change_make_ms": _best_ms(lambda: source.split_patches(config.revision, changes)),
+        "change_apply_ms": _best_ms(lambda: target.patched(patches)),
+    }
+
+
 def measure(vms: int) -> dict[str, float]:
     """Returns the figures of one size."""
     copy = whole_copy(vms)
@@ -131,7 +160,7 @@
         "decode_ms": _best_ms(lambda: fleet_messages.decode(raw)),
         "all_s": round(vms * listing_bytes * 8 / STORE_BITS_PER_S, 2),
         "zone_s": round(vms / ZONES * len(raw) * 8 / VM_BITS_PER_S, 2),
-    }
+    } | measure_change(copy.records[0])
 
 
 def main(
