--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -20,6 +20,7 @@
     seconds: Annotated[
         float, typer.Option(help="Seconds of fault injection for each seed.")
     ] = 15.0,
+    vms: Annotated[int, typer.Option(help="Number of VMs.", min=4, max=play.MAX_VMS)] = play.VMS,
     logs: Annotated[
         str, typer.Option(help="Directory for the VMs' logs; without it, they are deleted.")
     ] = "",
@@ -30,7 +31,7 @@
         with tempfile.TemporaryDirectory() as temporary:
             folder = pathlib.Path(logs or temporary) / f"seed-{seed}"
             folder.mkdir(parents=True, exist_ok=True)
-            outcome = asyncio.run(play.run_seed(seed, seconds, folder))
+            outcome = asyncio.run(play.run_seed(seed, seconds, folder, vms))
         failed_seeds += bool(outcome.violations)
         typer.echo(outcome.line())
         for line in outcome.violations:
--- a/soak/records.py
+++ b/soak/records.py
@@ -14,6 +14,8 @@
 NOT_EXECUTED_STATUSES = frozenset([408, 421, 429, 503])
 DRAIN_DEADLINE_S = 2.0
 """A server must not get requests later than this after its record says that it drains."""
+LOSS_SLACK_S = 0.2
+"""A request on an open connection that ends within this time may have crossed its close."""
 PAUSE_SLACK_S = 0.5
 MAX_REQUESTS_IN_PAUSE = 2
 """Requests of one VM that may reach a server from ``PAUSE_SLACK_S`` after it asked for a pause."""
@@ -63,6 +65,8 @@
     ended_at: float = 0.0
     """Time at which the connection ended, if ``was_cut``."""
     vm: str = ""
+    is_reused: bool = False
+    """Whether the request was sent on a connection that was open before."""
 
 
 @dataclasses.dataclass
@@ -109,7 +113,11 @@
             lines.append(f"{request_id}: success with a wrong or incomplete response")
         if 200 <= result.status < 300 and not runs:
             lines.append(f"{request_id}: success without an execution")
-        if result.was_cut and _is_in_planned_stop(observations, result):
+        if (
+            result.was_cut
+            and _is_in_planned_stop(observations, result)
+            and not _crossed_close(observations, request_id, result)
+        ):
             lines.append(f"{request_id}: cut off in a planned stop")
         if _is_wrong_404(observations, result):
             lines.append(f"{request_id}: 404 on {result.path}, although its route is configured")
@@ -202,6 +210,12 @@
     )
 
 
+def _crossed_close(observations: Observations, request_id: str, result: Result) -> bool:
+    """Whether a VM closed an open connection while the request was on its way to it."""
+    is_prompt = result.ended_at - result.sent_at <= LOSS_SLACK_S
+    return result.is_reused and is_prompt and request_id not in observations.arrivals
+
+
 def _is_undisturbed(observations: Observations, start: float, end: float) -> bool:
     return not any(
         window_start <= end and window_end > start
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -89,6 +89,27 @@
     assert len(records.violations(observations)) == expected
 
 
+@pytest.mark.parametrize(
+    ("ended_at", "reused", "arrived", "expected"),
+    [
+        (11.1, True, False, 0),
+        (11.3, True, False, 1),
+        (11.1, True, True, 1),
+        (11.1, False, False, 1),
+    ],
+)
+def test_only_a_request_that_crosses_a_close_may_be_cut(ended_at, reused, arrived, expected):
+    """Guards against lost requests that pass for ones that met a closing connection."""
+    observations = observe(status=0, runs=0)
+    result = observations.results["a"]
+    result.sent_at, result.was_cut, result.ended_at = 11.0, True, ended_at
+    result.is_reused = reused
+    if arrived:
+        observations.arrivals["a"].append(records.Arrival("i-0", 0, 11.05))
+    observations.stop_windows = [(10.0, 12.0)]
+    assert len(records.violations(observations)) == expected
+
+
 def observe_arrivals(*sent_at, vm="vm-1", born=0):
     """Returns observations of requests that reached server i-0 when they were sent."""
     observations = records.Observations()
